Add the design page, the schema with its generator, the core types and the wire crate

The workspace follows the design page: messages and settings in .proto files from which code is generated and committed, newtypes for ids, sizes and rates, and h2 streams of length-prefixed bincode frames between nodes.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! The measuring program.
--- /dev/null
+++ b/crates/bundle/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator files to one validated bundle; deltas, digests and publish merge.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command-line tool dandelionseam.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership table, record merge, tree position and parent choice.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node daemon dandelionseamd.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of the call path: route match, target choice, admission, retry budget.
--- /dev/null
+++ b/crates/schema/src/lib.rs
@@ -0,0 +1,51 @@
+//! Messages, stored values and settings, generated from the `.proto` files of this crate.
+//!
+//! - [`bundle`]: values in the store, also carried between nodes.
+//! - [`control`] and [`call`]: messages of the streams between nodes.
+//! - [`settings`] and [`operator`]: sections of INI files, with a key table for each.
+//! - [`codec`]: the binary form of messages.
+//!
+//! The types of this crate are used where data enters or leaves the process; the other crates
+//! convert them to their own types.
+//!
+//! ```
+//! use schema::{bundle::Head, codec};
+//!
+//! let head = Head { version: 7, ..Head::default() };
+//! let bytes = codec::encode(&head)?;
+//! assert_eq!(codec::decode::<Head>(&bytes)?, head);
+//! # Ok::<(), codec::Error>(())
+//! ```
+
+pub mod codec;
+pub mod section;
+
+/// Values kept in the store and carried between nodes.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/bundle.rs"]
+#[rustfmt::skip]
+pub mod bundle;
+
+/// Messages of the call streams between nodes.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/call.rs"]
+#[rustfmt::skip]
+pub mod call;
+
+/// Messages of the control streams between nodes.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/control.rs"]
+#[rustfmt::skip]
+pub mod control;
+
+/// Sections of operator files.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/operator.rs"]
+#[rustfmt::skip]
+pub mod operator;
+
+/// Sections of the daemon's settings.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/settings.rs"]
+#[rustfmt::skip]
+pub mod settings;
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! INI reading with line numbers into generated structs, with findings.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small store and upstream for the demo and tests.
--- /dev/null
+++ b/crates/wire/src/connection.rs
@@ -0,0 +1,111 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes as Buffer;
+use h2::client::{Builder, SendRequest};
+use http::Request;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout_at;
+use types::Deadline;
+
+use crate::{
+    CONNECTION_WINDOW, Error, HEADER_LIMIT, Kind, PROTOCOL, PROTOCOL_HEADER, Receiver,
+    STREAM_WINDOW, Sender, Stream, liveness,
+};
+
+/// Connection that this process dialled.
+///
+/// A task of its own drives it and pings the peer; it ends when the connection fails or the last
+/// clone is dropped and all streams have ended.
+#[derive(Clone)]
+pub struct Connection {
+    peer: SocketAddr,
+    requests: SendRequest<Buffer>,
+    closed: watch::Receiver<bool>,
+    stop: watch::Sender<bool>,
+}
+
+impl Connection {
+    /// Connects to the peer port of a node.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connect`] or [`Error::ConnectDeadline`] when no connection was made by the
+    /// deadline, and [`Error::Stream`] when the peer does not speak `h2`.
+    pub async fn connect(peer: SocketAddr, deadline: Deadline) -> Result<Self, Error> {
+        timeout_at(deadline.instant(), Self::dial(peer))
+            .await
+            .map_err(|_| Error::ConnectDeadline)?
+    }
+
+    async fn dial(peer: SocketAddr) -> Result<Self, Error> {
+        let socket = TcpStream::connect(peer).await.map_err(Error::Connect)?;
+        socket.set_nodelay(true).map_err(Error::Connect)?;
+        let (requests, mut connection) = Builder::new()
+            .initial_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .max_header_list_size(HEADER_LIMIT)
+            .enable_push(false)
+            .handshake(socket)
+            .await?;
+        let (closing, closed) = watch::channel(false);
+        let (stop, mut stopped) = watch::channel(false);
+        let pings = connection.ping_pong();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = connection => {}
+                () = liveness::watch(pings) => {}
+                _ = stopped.wait_for(|stop| *stop) => {}
+            }
+            closing.send_replace(true);
+        });
+        Ok(Self {
+            peer,
+            requests,
+            closed,
+            stop,
+        })
+    }
+
+    /// Address of the peer.
+    #[must_use]
+    pub const fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Whether the connection has failed or was closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        *self.closed.borrow()
+    }
+
+    /// Waits until the connection has failed or was closed.
+    pub async fn wait_closed(&self) {
+        // An error means that the driving task is gone, so the connection is closed too.
+        let _ = self.closed.clone().wait_for(|closed| *closed).await;
+    }
+
+    /// Opens a stream. Nothing has reached the peer's application when this fails.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Stream`] when the connection has failed, and [`Error::Closed`] when the
+    /// request is not valid.
+    pub async fn open(&self, kind: Kind) -> Result<Stream, Error> {
+        let mut requests = self.requests.clone().ready().await?;
+        let request = Request::post(format!("http://{}{}", self.peer, kind.path()))
+            .header(PROTOCOL_HEADER, PROTOCOL)
+            .body(())
+            .map_err(|_| Error::Closed)?;
+        let (response, sender) = requests.send_request(request, false)?;
+        Ok(Stream {
+            sender: Sender::new(sender),
+            receiver: Receiver::opening(response),
+        })
+    }
+
+    /// Closes the connection; its streams fail at once.
+    pub fn close(self) {
+        self.stop.send_replace(true);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/error.rs
@@ -0,0 +1,40 @@
+use std::io;
+
+use thiserror::Error;
+
+/// Reason why a connection or stream failed.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The connection could not be made. Nothing was sent.
+    #[error("connect: {0}")]
+    Connect(#[source] io::Error),
+    /// The deadline passed before the connection was made. Nothing was sent.
+    #[error("connect: deadline passed")]
+    ConnectDeadline,
+    /// The peer speaks another protocol version.
+    #[error("protocol version {theirs} of the peer differs from {ours}")]
+    Protocol {
+        /// Version of this process.
+        ours: u32,
+        /// Version of the peer.
+        theirs: String,
+    },
+    /// The peer refused the stream.
+    #[error("stream refused with status {0}")]
+    Refused(u16),
+    /// The stream or its connection failed.
+    #[error("stream: {0}")]
+    Stream(#[from] h2::Error),
+    /// The stream ended inside a frame.
+    #[error("stream ended inside a frame")]
+    Cut,
+    /// A frame is larger than a message may be.
+    #[error("frame of {0} bytes is over the limit")]
+    Large(usize),
+    /// A frame is not a message.
+    #[error("{0}")]
+    Codec(#[from] schema::codec::Error),
+    /// The sending direction has ended.
+    #[error("stream is closed")]
+    Closed,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,64 @@
+//! Connections between nodes.
+//!
+//! [`Connection`] dials a peer and opens streams; [`serve`] runs the accepting side of one
+//! connection. Both give a [`Stream`], which sends and receives messages of the `schema` crate. A
+//! stream ends properly only when the sender calls [`Sender::finish`]; every other end is an
+//! [`Error`].
+//!
+//! A connection that misses a ping for [`PING_LIMIT`] is closed, and all its streams fail.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), wire::Error> {
+//! use schema::control::Message;
+//! use types::Deadline;
+//!
+//! let peer = "127.0.0.1:8081".parse().expect("valid address");
+//! let connection = wire::Connection::connect(peer, Deadline::after_ms(1000)).await?;
+//! let mut stream = connection.open(wire::Kind::Control).await?;
+//! stream.sender.send(&Message::default()).await?;
+//! let reply: Option<wire::Frame<Message>> = stream.receiver.recv().await?;
+//! # Ok(())
+//! # }
+//! ```
+
+mod connection;
+mod error;
+mod frame;
+mod kind;
+mod liveness;
+mod receiver;
+mod sender;
+mod server;
+
+pub use connection::Connection;
+pub use error::Error;
+pub use frame::Frame;
+pub use kind::Kind;
+pub use liveness::{PING_INTERVAL, PING_LIMIT};
+pub use receiver::Receiver;
+pub use sender::Sender;
+pub use server::serve;
+
+/// Version of the protocol between nodes. `bincode` does not describe itself, so peers with unequal
+/// versions refuse each other.
+pub const PROTOCOL: u32 = 1;
+
+/// Header that carries [`PROTOCOL`].
+const PROTOCOL_HEADER: &str = "dandelionseam-protocol";
+
+/// Receive window of a stream, in bytes.
+const STREAM_WINDOW: u32 = 1024 * 1024;
+
+/// Receive window of a connection, in bytes.
+const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+
+/// Largest list of request headers, in bytes. Streams carry their data in frames, not in headers.
+const HEADER_LIMIT: u32 = 8 * 1024;
+
+/// Both directions of a stream.
+pub struct Stream {
+    /// Sending direction.
+    pub sender: Sender,
+    /// Receiving direction.
+    pub receiver: Receiver,
+}
--- /dev/null
+++ b/crates/wire/src/receiver.rs
@@ -0,0 +1,122 @@
+use bytes::{Buf, BytesMut};
+use h2::RecvStream;
+use h2::client::ResponseFuture;
+use http::{HeaderMap, StatusCode};
+use schema::codec;
+use types::size::Bytes;
+
+use crate::frame::PREFIX;
+use crate::{Error, Frame, PROTOCOL, PROTOCOL_HEADER};
+
+/// Receiving direction of a stream.
+pub struct Receiver {
+    state: State,
+    buffer: BytesMut,
+}
+
+/// Progress of the receiving direction.
+enum State {
+    /// The peer has not accepted the stream yet.
+    Opening(ResponseFuture),
+    /// Data may come.
+    Open(RecvStream),
+}
+
+impl Receiver {
+    pub(crate) fn opening(response: ResponseFuture) -> Self {
+        Self {
+            state: State::Opening(response),
+            buffer: BytesMut::new(),
+        }
+    }
+
+    pub(crate) fn open(stream: RecvStream) -> Self {
+        Self {
+            state: State::Open(stream),
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Receives the next message; `None` after a proper end of the stream.
+    ///
+    /// The call may be dropped before it returns without loss of data.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Refused`] or [`Error::Protocol`] when the peer did not accept the stream,
+    /// [`Error::Cut`] and [`Error::Stream`] when the stream broke off, and [`Error::Large`] or
+    /// [`Error::Codec`] for bad input.
+    pub async fn recv<M>(&mut self) -> Result<Option<Frame<M>>, Error>
+    where
+        M: bincode::Decode<()>,
+    {
+        loop {
+            if let Some(frame) = self.take_frame()? {
+                return Ok(Some(frame));
+            }
+            if !self.fill().await? {
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(Error::Cut)
+                };
+            }
+        }
+    }
+
+    /// Decodes the first frame of the buffer, when it is complete.
+    fn take_frame<M>(&mut self) -> Result<Option<Frame<M>>, Error>
+    where
+        M: bincode::Decode<()>,
+    {
+        let Some(prefix) = self.buffer.first_chunk::<PREFIX>() else {
+            return Ok(None);
+        };
+        let length = u32::from_le_bytes(*prefix) as usize;
+        if length > codec::MESSAGE_LIMIT {
+            return Err(Error::Large(length));
+        }
+        if self.buffer.len() < PREFIX + length {
+            return Ok(None);
+        }
+        self.buffer.advance(PREFIX);
+        let body = self.buffer.split_to(length);
+        let message = codec::decode(&body)?;
+        let size = Bytes::new((PREFIX + length) as u64);
+        Ok(Some(Frame { message, size }))
+    }
+
+    /// Adds data to the buffer; false at the proper end of the stream.
+    async fn fill(&mut self) -> Result<bool, Error> {
+        if let State::Opening(response) = &mut self.state {
+            let (head, stream) = response.await?.into_parts();
+            check_acceptance(head.status, &head.headers)?;
+            self.state = State::Open(stream);
+        }
+        let State::Open(stream) = &mut self.state else {
+            return Err(Error::Closed);
+        };
+        match stream.data().await {
+            Some(data) => {
+                let data = data?;
+                self.buffer.extend_from_slice(&data);
+                stream.flow_control().release_capacity(data.len())?;
+                Ok(true)
+            }
+            None => Ok(false),
+        }
+    }
+}
+
+fn check_acceptance(status: StatusCode, headers: &HeaderMap) -> Result<(), Error> {
+    if status == StatusCode::OK {
+        return Ok(());
+    }
+    match headers.get(PROTOCOL_HEADER) {
+        Some(theirs) if status == StatusCode::HTTP_VERSION_NOT_SUPPORTED => Err(Error::Protocol {
+            ours: PROTOCOL,
+            theirs: String::from_utf8_lossy(theirs.as_bytes()).into_owned(),
+        }),
+        _ => Err(Error::Refused(status.as_u16())),
+    }
+}
