--- a/crates/types/src/finding.rs
+++ b/crates/types/src/finding.rs
@@ -135,3 +135,21 @@
 }
 
 impl std::error::Error for Findings {}
+
+impl IntoIterator for Findings {
+    type Item = Finding;
+    type IntoIter = std::vec::IntoIter<Finding>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.0.into_iter()
+    }
+}
+
+impl FromIterator<Finding> for Findings {
+    fn from_iter<I>(findings: I) -> Self
+    where
+        I: IntoIterator<Item = Finding>,
+    {
+        Self(findings.into_iter().collect())
+    }
+}
