bundle: operator files, the one validation, versions, deltas and the publish merge

Publishers and nodes need the same decisions on the same plain data. The digest of a bundle covers the version and the time of publication, so a damaged number in a delta cannot pass for another version.

--- /dev/null
+++ b/crates/bundle/src/bundle.rs
@@ -0,0 +1,130 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use types::{Digest, Findings, Timestamp, Version, id};
+
+use crate::{Delta, Rejection, Service, piece_digest, validate};
+
+/// One whole version of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bundle {
+    /// Version; zero for the empty bundle of a node that holds none yet.
+    pub version: Version,
+    /// Digest of the version, the time of publication and all services.
+    pub digest: Digest,
+    /// Time of publication.
+    pub published: Timestamp,
+    /// Services by name.
+    pub services: BTreeMap<id::Service, Arc<Service>>,
+}
+
+impl Bundle {
+    /// Bundle without services, at [`Version::NONE`].
+    #[must_use]
+    pub fn empty() -> Self {
+        Self::of(Version::NONE, Timestamp::default(), BTreeMap::new())
+    }
+
+    /// Creates a bundle from services that pass [`validate`].
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings of the validation.
+    pub fn new<I>(version: Version, published: Timestamp, services: I) -> Result<Self, Findings>
+    where
+        I: IntoIterator<Item: Into<Arc<Service>>>,
+    {
+        let services: Vec<Arc<Service>> = services.into_iter().map(Into::into).collect();
+        let findings = validate(services.iter().map(Arc::as_ref));
+        let by_name = services
+            .into_iter()
+            .map(|service| (service.name.clone(), service));
+        findings.or(Self::of(version, published, by_name.collect()))
+    }
+
+    fn of(
+        version: Version,
+        published: Timestamp,
+        services: BTreeMap<id::Service, Arc<Service>>,
+    ) -> Self {
+        let pieces: Vec<_> = services
+            .iter()
+            .map(|(name, service)| (name, piece_digest(service)))
+            .collect();
+        let digest = bundle_digest(
+            version,
+            published,
+            pieces.iter().map(|(name, digest)| (*name, digest)),
+        );
+        Self {
+            version,
+            digest,
+            published,
+            services,
+        }
+    }
+
+    /// Builds the bundle that `delta` leads to. A delta from [`Version::NONE`] is a snapshot and
+    /// applies whatever version is held.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Rejection`] when the delta is not newer, does not start at the held version, is
+    /// damaged, or leads to a bundle that fails validation. The held bundle stays as it is.
+    pub fn apply(&self, delta: &Delta) -> Result<Self, Rejection> {
+        if delta.to <= self.version {
+            return Err(Rejection::Stale {
+                held: self.version,
+                offered: delta.to,
+            });
+        }
+        if delta.from != Version::NONE && delta.from != self.version {
+            return Err(Rejection::Gap {
+                held: self.version,
+                from: delta.from,
+            });
+        }
+        let bundle = Self::of(delta.to, delta.published, self.changed_services(delta));
+        if bundle.digest != delta.digest {
+            return Err(Rejection::Digest {
+                expected: delta.digest,
+                found: bundle.digest,
+            });
+        }
+        let findings = validate(bundle.services.values().map(Arc::as_ref));
+        findings.or(bundle).map_err(Rejection::Invalid)
+    }
+
+    fn changed_services(&self, delta: &Delta) -> BTreeMap<id::Service, Arc<Service>> {
+        let mut services = if delta.from == Version::NONE {
+            BTreeMap::new()
+        } else {
+            self.services.clone()
+        };
+        for name in &delta.removed {
+            services.remove(name);
+        }
+        for service in &delta.changed {
+            services.insert(service.name.clone(), Arc::clone(service));
+        }
+        services
+    }
+}
+
+/// Digest of a whole version. The version and the time are part of it, so that a damaged number
+/// cannot pass for another version with the same services.
+pub(crate) fn bundle_digest<'a, I>(version: Version, published: Timestamp, pieces: I) -> Digest
+where
+    I: IntoIterator<Item = (&'a id::Service, &'a Digest)>,
+{
+    let version = version.get().to_le_bytes();
+    let published = published.get().to_le_bytes();
+    let pieces = pieces
+        .into_iter()
+        .flat_map(|(name, digest)| [name.as_str().as_bytes(), digest.as_bytes().as_slice()]);
+    Digest::of_parts(
+        [version.as_slice(), published.as_slice()]
+            .into_iter()
+            .chain(pieces),
+    )
+}
--- /dev/null
+++ b/crates/bundle/src/convert.rs
@@ -0,0 +1,259 @@
+//! Between the plain types and the types of the schema.
+
+use schema::bundle as message;
+use schema::control::Update;
+use thiserror::Error;
+use types::rate::Percent;
+use types::{Digest, InvalidDigest, Timestamp, Version, id, size};
+
+use crate::{Delta, Entry, Manifest, Piece, Reach, Route, Service};
+
+/// Reason why a message of the schema is not a configuration.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum Invalid {
+    /// A name is not valid.
+    #[error("{0}")]
+    Name(#[from] id::Invalid),
+    /// A digest has the wrong length.
+    #[error("{0}")]
+    Digest(#[from] InvalidDigest),
+    /// A reach is not known.
+    #[error("reach {0} is not known")]
+    Reach(i32),
+    /// A share is over 100 percent.
+    #[error("share of {0}% is over 100%")]
+    Percent(u32),
+    /// A service appears twice in one manifest.
+    #[error("service `{0}` appears twice")]
+    Twice(id::Service),
+}
+
+impl From<&Service> for message::ServiceConfig {
+    fn from(service: &Service) -> Self {
+        Self {
+            name: service.name.to_string(),
+            owner: service.owner.to_string(),
+            file: service.file.clone(),
+            slots: service.slots.get(),
+            connections: service.connections.get(),
+            queue: service.queue.get(),
+            reach: message::Reach::from(service.reach).into(),
+            subset: service.subset,
+            attempts: service.attempts,
+            budget_percent: service.budget.get(),
+            routes: service.routes.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<message::ServiceConfig> for Service {
+    type Error = Invalid;
+
+    fn try_from(config: message::ServiceConfig) -> Result<Self, Invalid> {
+        let reach =
+            message::Reach::try_from(config.reach).map_err(|_| Invalid::Reach(config.reach))?;
+        if config.budget_percent > 100 {
+            return Err(Invalid::Percent(config.budget_percent));
+        }
+        Ok(Self {
+            name: config.name.parse()?,
+            owner: config.owner.parse()?,
+            file: config.file,
+            slots: size::Slots::new(config.slots),
+            connections: size::Connections::new(config.connections),
+            queue: size::Queue::new(config.queue),
+            reach: reach.into(),
+            subset: config.subset,
+            attempts: config.attempts,
+            budget: Percent::new(config.budget_percent),
+            routes: config
+                .routes
+                .into_iter()
+                .map(TryInto::try_into)
+                .collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl From<&Route> for message::RouteConfig {
+    fn from(route: &Route) -> Self {
+        Self {
+            name: route.name.to_string(),
+            path: route.path.clone(),
+            methods: route.methods.clone(),
+            service: route.service.to_string(),
+            deadline_ms: route.deadline_ms,
+            repeatable: route.repeatable,
+        }
+    }
+}
+
+impl TryFrom<message::RouteConfig> for Route {
+    type Error = Invalid;
+
+    fn try_from(config: message::RouteConfig) -> Result<Self, Invalid> {
+        Ok(Self {
+            name: config.name.parse()?,
+            path: config.path,
+            methods: config.methods,
+            service: config.service.parse()?,
+            deadline_ms: config.deadline_ms,
+            repeatable: config.repeatable,
+        })
+    }
+}
+
+impl From<Reach> for message::Reach {
+    fn from(reach: Reach) -> Self {
+        match reach {
+            Reach::Domain => Self::Domain,
+            Reach::Region => Self::Region,
+            Reach::Any => Self::Any,
+        }
+    }
+}
+
+impl From<message::Reach> for Reach {
+    fn from(reach: message::Reach) -> Self {
+        match reach {
+            message::Reach::Domain => Self::Domain,
+            message::Reach::Region => Self::Region,
+            message::Reach::Any => Self::Any,
+        }
+    }
+}
+
+impl From<&Manifest> for message::Manifest {
+    fn from(manifest: &Manifest) -> Self {
+        Self {
+            version: manifest.version.get(),
+            parent: manifest.parent.get(),
+            publication: manifest
+                .publication
+                .as_ref()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
+            publisher: manifest.publisher.clone(),
+            published_ms: manifest.published.get(),
+            digest: manifest.digest.as_bytes().to_vec(),
+            entries: manifest.entries.values().map(Into::into).collect(),
+            replaced: manifest.replaced.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<message::Manifest> for Manifest {
+    type Error = Invalid;
+
+    fn try_from(message: message::Manifest) -> Result<Self, Invalid> {
+        let mut manifest = Self {
+            version: Version::new(message.version),
+            parent: Version::new(message.parent),
+            publication: Some(message.publication.parse()?),
+            publisher: message.publisher,
+            published: Timestamp::new(message.published_ms),
+            digest: message.digest.as_slice().try_into()?,
+            replaced: message
+                .replaced
+                .into_iter()
+                .map(TryInto::try_into)
+                .collect::<Result<_, _>>()?,
+            ..Self::empty()
+        };
+        for entry in message.entries {
+            let entry = Entry::try_from(entry)?;
+            if let Some(twice) = manifest.entries.insert(entry.piece.service.clone(), entry) {
+                return Err(Invalid::Twice(twice.piece.service));
+            }
+        }
+        Ok(manifest)
+    }
+}
+
+impl From<&Entry> for message::Entry {
+    fn from(entry: &Entry) -> Self {
+        Self {
+            service: entry.piece.service.to_string(),
+            publication: entry.piece.publication.to_string(),
+            digest: entry.digest.as_bytes().to_vec(),
+            owner: entry.owner.to_string(),
+        }
+    }
+}
+
+impl TryFrom<message::Entry> for Entry {
+    type Error = Invalid;
+
+    fn try_from(entry: message::Entry) -> Result<Self, Invalid> {
+        Ok(Self {
+            piece: Piece {
+                publication: entry.publication.parse()?,
+                service: entry.service.parse()?,
+            },
+            digest: Digest::try_from(entry.digest.as_slice())?,
+            owner: entry.owner.parse()?,
+        })
+    }
+}
+
+impl From<&Piece> for message::Piece {
+    fn from(piece: &Piece) -> Self {
+        Self {
+            publication: piece.publication.to_string(),
+            service: piece.service.to_string(),
+        }
+    }
+}
+
+impl TryFrom<message::Piece> for Piece {
+    type Error = Invalid;
+
+    fn try_from(piece: message::Piece) -> Result<Self, Invalid> {
+        Ok(Self {
+            publication: piece.publication.parse()?,
+            service: piece.service.parse()?,
+        })
+    }
+}
+
+/// One update that holds the whole delta.
+impl From<&Delta> for Update {
+    fn from(delta: &Delta) -> Self {
+        Self {
+            from: delta.from.get(),
+            to: delta.to.get(),
+            changed: delta
+                .changed
+                .iter()
+                .map(|service| service.as_ref().into())
+                .collect(),
+            removed: delta.removed.iter().map(ToString::to_string).collect(),
+            digest: delta.digest.as_bytes().to_vec(),
+            published_ms: delta.published.get(),
+            last: true,
+        }
+    }
+}
+
+/// The update must hold the whole delta; the receiver joins the parts of a longer transfer first.
+impl TryFrom<Update> for Delta {
+    type Error = Invalid;
+
+    fn try_from(update: Update) -> Result<Self, Invalid> {
+        let services = update.changed.into_iter().map(Service::try_from);
+        Ok(Self {
+            from: Version::new(update.from),
+            to: Version::new(update.to),
+            changed: services
+                .map(|service| service.map(Into::into))
+                .collect::<Result<_, _>>()?,
+            removed: update
+                .removed
+                .iter()
+                .map(|name| name.parse())
+                .collect::<Result<_, _>>()?,
+            digest: Digest::try_from(update.digest.as_slice())?,
+            published: Timestamp::new(update.published_ms),
+        })
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/manifest.rs
@@ -0,0 +1,121 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use types::{Digest, Timestamp, Version, id};
+
+use crate::bundle::bundle_digest;
+use crate::{Bundle, Delta, Service, piece_digest};
+
+/// Complete list of the services in one version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Manifest {
+    /// Version; zero when nothing has been published.
+    pub version: Version,
+    /// Version that the publisher started from.
+    pub parent: Version,
+    /// Publication that made the version; `None` when nothing has been published.
+    pub publication: Option<id::Publication>,
+    /// Who published it, as text for people.
+    pub publisher: String,
+    /// Time of publication.
+    pub published: Timestamp,
+    /// Digest of the whole bundle.
+    pub digest: Digest,
+    /// Services by name.
+    pub entries: BTreeMap<id::Service, Entry>,
+    /// Pieces of the parent that this version no longer uses.
+    pub replaced: Vec<Piece>,
+}
+
+/// One service of a manifest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Piece that holds the service's configuration.
+    pub piece: Piece,
+    /// Digest of the service's configuration.
+    pub digest: Digest,
+    /// Owner of the service.
+    pub owner: id::Owner,
+}
+
+/// Place of a service's configuration in the store.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Piece {
+    /// Publication that wrote it.
+    pub publication: id::Publication,
+    /// Service that it configures.
+    pub service: id::Service,
+}
+
+impl Entry {
+    /// Entry of a service that `publication` writes.
+    #[must_use]
+    pub fn new(publication: &id::Publication, service: &Service) -> Self {
+        Self {
+            piece: Piece {
+                publication: publication.clone(),
+                service: service.name.clone(),
+            },
+            digest: piece_digest(service),
+            owner: service.owner.clone(),
+        }
+    }
+}
+
+impl Manifest {
+    /// Manifest before anything has been published.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self {
+            version: Version::NONE,
+            parent: Version::NONE,
+            publication: None,
+            publisher: String::new(),
+            published: Timestamp::default(),
+            digest: Bundle::empty().digest,
+            entries: BTreeMap::new(),
+            replaced: Vec::new(),
+        }
+    }
+
+    /// Sets the digest to that of the bundle with these entries.
+    #[must_use]
+    pub(crate) fn with_computed_digest(mut self) -> Self {
+        let pieces = self
+            .entries
+            .iter()
+            .map(|(name, entry)| (name, &entry.digest));
+        self.digest = bundle_digest(self.version, self.published, pieces);
+        self
+    }
+
+    /// Entries whose pieces must be read to get from `held` to this version.
+    #[must_use]
+    pub fn missing(&self, held: &Bundle) -> Vec<&Entry> {
+        let is_held = |entry: &Entry| {
+            let service = held.services.get(&entry.piece.service);
+            service.is_some_and(|service| piece_digest(service) == entry.digest)
+        };
+        self.entries
+            .values()
+            .filter(|entry| !is_held(entry))
+            .collect()
+    }
+
+    /// Delta from `held` to this version. `read` holds the services of [`Manifest::missing`].
+    #[must_use]
+    pub fn delta(&self, held: &Bundle, read: Vec<Arc<Service>>) -> Delta {
+        let removed = held
+            .services
+            .keys()
+            .filter(|name| !self.entries.contains_key(*name));
+        Delta {
+            from: held.version,
+            to: self.version,
+            changed: read,
+            removed: removed.cloned().collect(),
+            digest: self.digest,
+            published: self.published,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/merge.rs
@@ -0,0 +1,103 @@
+use std::collections::BTreeMap;
+
+use types::id;
+
+use crate::{Change, Conflict, Entry, Manifest, Piece};
+
+/// Manifest that follows `head` when `change`, which was made from `base`, is added to it.
+///
+/// A manifest with the version of `head` means that `head` has all of the change already, so there
+/// is nothing to publish.
+///
+/// # Errors
+///
+/// Returns [`Conflict`] when a service of the change differs between `base` and `head`, belongs to
+/// another owner, or is to be removed and does not exist.
+pub fn merge(base: &Manifest, head: &Manifest, change: &Change) -> Result<Manifest, Conflict> {
+    let mut entries = head.entries.clone();
+    for (name, entry) in &change.set {
+        set(base, head, name, entry, &mut entries)?;
+    }
+    for name in &change.removed {
+        remove(base, head, name, &mut entries)?;
+    }
+    if entries == head.entries {
+        return Ok(head.clone());
+    }
+    let manifest = Manifest {
+        version: head.version.next(),
+        parent: head.version,
+        publication: Some(change.publication.clone()),
+        publisher: change.publisher.clone(),
+        published: change.published,
+        digest: head.digest,
+        replaced: replaced(head, &entries),
+        entries,
+    };
+    Ok(manifest.with_computed_digest())
+}
+
+fn set(
+    base: &Manifest,
+    head: &Manifest,
+    name: &id::Service,
+    entry: &Entry,
+    entries: &mut BTreeMap<id::Service, Entry>,
+) -> Result<(), Conflict> {
+    if let Some(current) = head.entries.get(name) {
+        if current.owner != entry.owner {
+            return Err(Conflict::Owner {
+                service: name.clone(),
+                owner: current.owner.clone(),
+                claimed: entry.owner.clone(),
+            });
+        }
+        if current.digest == entry.digest {
+            return Ok(());
+        }
+    }
+    check_unchanged(base, head, name)?;
+    entries.insert(name.clone(), entry.clone());
+    Ok(())
+}
+
+fn remove(
+    base: &Manifest,
+    head: &Manifest,
+    name: &id::Service,
+    entries: &mut BTreeMap<id::Service, Entry>,
+) -> Result<(), Conflict> {
+    if entries.remove(name).is_none() {
+        return match base.entries.get(name) {
+            // Another publisher removed it first, which is what this one wants.
+            Some(_) => Ok(()),
+            None => Err(Conflict::Absent(name.clone())),
+        };
+    }
+    check_unchanged(base, head, name)
+}
+
+/// Checks that nobody changed a service between `base` and `head`.
+fn check_unchanged(base: &Manifest, head: &Manifest, name: &id::Service) -> Result<(), Conflict> {
+    let current = head.entries.get(name);
+    if base.entries.get(name).map(|entry| entry.digest) == current.map(|entry| entry.digest) {
+        return Ok(());
+    }
+    Err(Conflict::Changed {
+        service: name.clone(),
+        publication: current.map(|entry| entry.piece.publication.clone()),
+        publisher: head.publisher.clone(),
+        version: head.version,
+    })
+}
+
+/// Pieces of `head` that `entries` no longer use.
+fn replaced(head: &Manifest, entries: &BTreeMap<id::Service, Entry>) -> Vec<Piece> {
+    let is_used = |entry: &Entry| {
+        entries
+            .get(&entry.piece.service)
+            .is_some_and(|new| new.piece == entry.piece)
+    };
+    let unused = head.entries.values().filter(|entry| !is_used(entry));
+    unused.map(|entry| entry.piece.clone()).collect()
+}
--- /dev/null
+++ b/crates/bundle/src/service.rs
@@ -0,0 +1,117 @@
+use types::rate::Percent;
+use types::{Digest, id, size};
+
+use crate::{Reach, Route};
+
+/// Configuration of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Name, unique in the mesh.
+    pub name: id::Service,
+    /// Owner of the service.
+    pub owner: id::Owner,
+    /// File that the publisher read it from, relative to the published directory.
+    pub file: String,
+    /// Requests that one target runs at the same time.
+    pub slots: size::Slots,
+    /// Connections that one target accepts.
+    pub connections: size::Connections,
+    /// Calls that may wait for a slot at one target.
+    pub queue: size::Queue,
+    /// Farthest tier that a call may use.
+    pub reach: Reach,
+    /// Targets that one node uses in each tier.
+    pub subset: u32,
+    /// Attempts for one call, the first one included.
+    pub attempts: u32,
+    /// Retries allowed, as a share of calls.
+    pub budget: Percent,
+    /// Routes in the order of the file.
+    pub routes: Vec<Route>,
+}
+
+/// Most bytes that the binary form uses for a number or for the length of a text or list.
+const NUMBER_SIZE: usize = 9;
+
+impl Service {
+    /// Upper bound of the size of the piece in the store.
+    #[must_use]
+    pub fn size_bound(&self) -> size::Bytes {
+        let own = self.name.as_str().len() + self.owner.as_str().len() + self.file.len();
+        let routes: usize = self.routes.iter().map(route_size_bound).sum();
+        size::Bytes::new((own + routes + 11 * NUMBER_SIZE) as u64)
+    }
+}
+
+fn route_size_bound(route: &Route) -> usize {
+    let texts = route.name.as_str().len() + route.path.len() + route.service.as_str().len();
+    let methods: usize = route
+        .methods
+        .iter()
+        .map(|method| method.len() + NUMBER_SIZE)
+        .sum();
+    texts + methods + 6 * NUMBER_SIZE
+}
+
+/// Digest of a service's configuration. It covers every field, so that two services with the same
+/// digest are the same piece.
+#[must_use]
+pub fn piece_digest(service: &Service) -> Digest {
+    // Destructuring makes the compiler point here when a field is added.
+    let Service {
+        name,
+        owner,
+        file,
+        slots,
+        connections,
+        queue,
+        reach,
+        subset,
+        attempts,
+        budget,
+        routes,
+    } = service;
+    let mut numbers = Vec::new();
+    for number in [
+        slots.get(),
+        connections.get(),
+        queue.get(),
+        reach.tiers(),
+        *subset,
+        *attempts,
+        budget.get(),
+    ] {
+        numbers.extend(number.to_le_bytes());
+    }
+    let routes: Vec<_> = routes.iter().map(route_digest).collect();
+    let own = [
+        name.as_str().as_bytes(),
+        owner.as_str().as_bytes(),
+        file.as_bytes(),
+        &numbers,
+    ];
+    Digest::of_parts(
+        own.into_iter()
+            .chain(routes.iter().map(|digest| digest.as_bytes().as_slice())),
+    )
+}
+
+fn route_digest(route: &Route) -> Digest {
+    let Route {
+        name,
+        path,
+        methods,
+        service,
+        deadline_ms,
+        repeatable,
+    } = route;
+    let deadline = deadline_ms.to_le_bytes();
+    let own = [
+        name.as_str().as_bytes(),
+        path.as_bytes(),
+        service.as_str().as_bytes(),
+        &deadline,
+        &[u8::from(*repeatable)],
+    ];
+    Digest::of_parts(own.into_iter().chain(methods.iter().map(String::as_bytes)))
+}
--- /dev/null
+++ b/crates/bundle/src/source.rs
@@ -0,0 +1,136 @@
+use schema::operator;
+use settings::{Document, Named};
+use types::rate::Percent;
+use types::{Finding, Findings, id, size};
+
+use crate::{Route, Service};
+
+/// One operator file that could be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Places of the keys. Its file name is the path as the operator gave it.
+    pub document: Document,
+    /// Service of the file.
+    pub service: Service,
+}
+
+const KINDS: [&str; 4] = [
+    operator::Service::SECTION.name,
+    operator::Placement::SECTION.name,
+    operator::Retry::SECTION.name,
+    operator::Route::SECTION.name,
+];
+
+impl Source {
+    /// Reads an operator file. `path` is shown in findings; `file` is its name within the published
+    /// directory.
+    ///
+    /// Every fault of the file's own text is reported. The source is returned in spite of faults as
+    /// long as the service has a name and an owner, so that other files can be checked against it.
+    #[must_use]
+    pub fn read(path: &str, file: &str, text: &str) -> (Option<Self>, Findings) {
+        let (document, mut findings) = Document::read(path, text);
+        document.check_kinds(&KINDS, &mut findings);
+        let service = Reader {
+            document: &document,
+            findings: &mut findings,
+        }
+        .service(file);
+        (service.map(|service| Self { document, service }), findings)
+    }
+}
+
+/// Reads the sections of one file into plain types.
+struct Reader<'a> {
+    document: &'a Document,
+    findings: &'a mut Findings,
+}
+
+impl Reader<'_> {
+    fn service(&mut self, file: &str) -> Option<Service> {
+        let service = self
+            .document
+            .fill(&operator::Service::SECTION, self.findings);
+        let placement = self
+            .document
+            .fill(&operator::Placement::SECTION, self.findings);
+        let retry = self.document.fill(&operator::Retry::SECTION, self.findings);
+        let routes = self
+            .document
+            .fill_named(&operator::Route::SECTION, self.findings);
+        let name: Option<id::Service> = self.parse("service.name", &service.name);
+        let owner = self.parse("service.owner", &service.owner);
+        let default = name.as_ref().map(ToString::to_string).unwrap_or_default();
+        let routes = routes
+            .into_iter()
+            .filter_map(|route| self.route(&default, route))
+            .collect();
+        Some(Service {
+            name: name?,
+            owner: owner?,
+            file: file.to_owned(),
+            slots: size::Slots::new(service.slots),
+            connections: size::Connections::new(service.connections),
+            queue: size::Queue::new(service.queue),
+            // Texts outside the choice have been refused, so the default remains.
+            reach: placement.reach.parse().unwrap_or_default(),
+            subset: placement.subset,
+            attempts: retry.attempts,
+            budget: Percent::new(retry.budget_percent),
+            routes,
+        })
+    }
+
+    fn route(&mut self, default: &str, route: Named<operator::Route>) -> Option<Route> {
+        let section = format!("route {}", route.name);
+        let name = self.parse(&section, &route.name);
+        let methods = format!("{section}.methods");
+        if route.value.methods.is_empty() && self.has(&section, "methods") {
+            // Without this finding, an empty list would mean all methods.
+            self.report(&methods, "value is empty".to_owned());
+        }
+        let service = if route.value.service.is_empty() {
+            default
+        } else {
+            &route.value.service
+        };
+        let service = self.parse(&format!("{section}.service"), service);
+        Some(Route {
+            name: name?,
+            // An empty path has been reported as a missing key.
+            path: Some(route.value.path).filter(|path| !path.is_empty())?,
+            methods: route.value.methods,
+            service: service?,
+            deadline_ms: route.value.deadline_ms,
+            repeatable: route.value.repeatable,
+        })
+    }
+
+    /// Reads a name. An empty text has been reported as a missing key.
+    fn parse<N>(&mut self, key: &str, text: &str) -> Option<N>
+    where
+        N: std::str::FromStr<Err = id::Invalid>,
+    {
+        if text.is_empty() {
+            return None;
+        }
+        text.parse()
+            .map_err(|invalid: id::Invalid| self.report(key, invalid.to_string()))
+            .ok()
+    }
+
+    fn has(&self, header: &str, key: &str) -> bool {
+        let mut sections = self.document.sections().iter();
+        let section = sections.find(|section| section.to_string() == header);
+        section.is_some_and(|section| section.entry(key).is_some())
+    }
+
+    fn report(&mut self, key: &str, message: String) {
+        let line = self.document.line(key);
+        self.findings.push(
+            Finding::new(self.document.file(), message)
+                .with_line(line)
+                .with_key(key),
+        );
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/validate/limits.rs
@@ -0,0 +1,104 @@
+//! Limits of a service: their ranges, and limits that contradict each other.
+
+use schema::operator;
+use schema::section::{Key, Kind};
+
+use super::{PIECE_LIMIT, Report, route_key};
+use crate::Service;
+
+/// Checks the limits of a service and its routes.
+pub(super) fn check(service: &Service, report: &mut Report<'_>) {
+    check_ranges(service, report);
+    check_contradictions(service, report);
+    let size = service.size_bound().get();
+    if size > PIECE_LIMIT {
+        let message =
+            format!("service takes up to {size} bytes in the store; the limit is {PIECE_LIMIT}");
+        report.add("service".to_owned(), message, None);
+    }
+}
+
+/// Checks numbers against the ranges of the schema. Files are checked when they are read; a node
+/// receives numbers that no file reader has seen.
+fn check_ranges(service: &Service, report: &mut Report<'_>) {
+    let service_keys = operator::Service::SECTION.keys;
+    let numbers = [
+        ("service", service_keys, "slots", service.slots.get()),
+        (
+            "service",
+            service_keys,
+            "connections",
+            service.connections.get(),
+        ),
+        ("service", service_keys, "queue", service.queue.get()),
+        (
+            "placement",
+            operator::Placement::SECTION.keys,
+            "subset",
+            service.subset,
+        ),
+        (
+            "retry",
+            operator::Retry::SECTION.keys,
+            "attempts",
+            service.attempts,
+        ),
+        (
+            "retry",
+            operator::Retry::SECTION.keys,
+            "budget_percent",
+            service.budget.get(),
+        ),
+    ];
+    for (section, keys, key, value) in numbers {
+        if let Some(message) = out_of_range(keys, key, value.into()) {
+            report.add(format!("{section}.{key}"), message, None);
+        }
+    }
+    for route in &service.routes {
+        if let Some(message) = out_of_range(
+            operator::Route::SECTION.keys,
+            "deadline_ms",
+            route.deadline_ms,
+        ) {
+            report.add(route_key(route, "deadline_ms"), message, None);
+        }
+    }
+}
+
+fn out_of_range(keys: &[Key], name: &str, value: u64) -> Option<String> {
+    let key = keys.iter().find(|key| key.name == name)?;
+    match key.kind {
+        Kind::Number { low, high } if !(low..=high).contains(&value) => {
+            Some(format!("{value} is not between {low} and {high}"))
+        }
+        _ => None,
+    }
+}
+
+fn check_contradictions(service: &Service, report: &mut Report<'_>) {
+    if service.connections.get() < service.slots.get() {
+        // Each request in a slot uses a connection of its own.
+        let message = format!(
+            "{} connections cannot fill {} slots",
+            service.connections, service.slots
+        );
+        report.add("service.connections".to_owned(), message, None);
+    }
+    if service.attempts > 1 && service.budget.get() == 0 {
+        let message = format!(
+            "{} attempts contradict a retry budget of 0%",
+            service.attempts
+        );
+        report.add("retry.budget_percent".to_owned(), message, None);
+    }
+    // Each attempt goes to another target.
+    let targets = service.subset.saturating_mul(service.reach.tiers());
+    if service.attempts > targets {
+        let message = format!(
+            "{} attempts are more than the {targets} targets that subset {} and reach {} allow",
+            service.attempts, service.subset, service.reach
+        );
+        report.add("retry.attempts".to_owned(), message, None);
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/validate/paths.rs
@@ -0,0 +1,71 @@
+//! Paths and methods of routes.
+
+use settings::nearest;
+
+use super::{Report, route_key};
+use crate::Route;
+
+/// Methods that a route may name.
+pub const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
+/// Longest path, in bytes.
+pub const PATH_LIMIT: usize = 1024;
+
+/// Checks that a path is written as callers' paths are compared: absolute, in whole segments, and in
+/// only one spelling.
+pub(super) fn check_path(path: &str) -> Result<(), String> {
+    if path.len() > PATH_LIMIT {
+        return Err(format!(
+            "path of {} bytes is longer than {PATH_LIMIT}",
+            path.len()
+        ));
+    }
+    let Some(rest) = path.strip_prefix('/') else {
+        return Err(format!("path `{path}` does not start with `/`"));
+    };
+    if let Some(c) = path.chars().find(|c| !is_path_character(*c)) {
+        return Err(format!(
+            "path `{path}` holds the character {c:?}, which a path cannot have"
+        ));
+    }
+    if rest.is_empty() {
+        return Ok(());
+    }
+    for segment in rest.split('/') {
+        check_segment(path, segment)?;
+    }
+    Ok(())
+}
+
+fn check_segment(path: &str, segment: &str) -> Result<(), String> {
+    match segment {
+        "" => Err(format!(
+            "path `{path}` has an empty segment or ends with `/`"
+        )),
+        "." | ".." => Err(format!("path `{path}` has the segment `{segment}`")),
+        _ => Ok(()),
+    }
+}
+
+/// Unreserved characters and sub-delimiters of RFC 3986. Percent signs are left out, because the
+/// same segment could then be written in several ways.
+fn is_path_character(c: char) -> bool {
+    c.is_ascii_alphanumeric() || "/-._~!$&'()*+,;=:@".contains(c)
+}
+
+/// Checks that methods are known, in upper case and named once.
+pub(super) fn check_methods(route: &Route, report: &mut Report<'_>) {
+    for (position, method) in route.methods.iter().enumerate() {
+        if !METHODS.contains(&method.as_str()) {
+            let message = format!("method `{method}` is none of {}", METHODS.join(", "));
+            report.add(
+                route_key(route, "methods"),
+                message,
+                nearest(method, METHODS),
+            );
+        } else if route.methods[..position].contains(method) {
+            let message = format!("method `{method}` appears twice");
+            report.add(route_key(route, "methods"), message, None);
+        }
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -28,10 +28,10 @@
 mod version;
 
 pub use deadline::Deadline;
-pub use digest::Digest;
+pub use digest::{Digest, InvalidDigest};
 pub use fault::Fault;
 pub use finding::{Finding, Findings};
 pub use incarnation::Incarnation;
-pub use outcome::Outcome;
+pub use outcome::{InvalidOutcome, Outcome};
 pub use timestamp::Timestamp;
 pub use version::Version;
