Add contract tests of connections between nodes

Change: only an explicit close ends open streams; contract tests for cut at every byte, silence, reset, unequal versions, oversize frames and random bytes.

--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -55,7 +55,7 @@
             tokio::select! {
                 _ = connection => {}
                 () = liveness::watch(pings) => {}
-                _ = stopped.wait_for(|stop| *stop) => {}
+                () = wait_stop(&mut stopped) => {}
             }
             closing.send_replace(true);
         });
@@ -109,3 +109,10 @@
         self.stop.send_replace(true);
     }
 }
+
+/// Ends when the connection is closed on purpose. When all handles are gone, open streams go on.
+async fn wait_stop(stopped: &mut watch::Receiver<bool>) {
+    if stopped.wait_for(|stop| *stop).await.is_err() {
+        std::future::pending().await
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/contract.rs
@@ -0,0 +1,301 @@
+//! Contract of connections and streams: what arrives is what was sent, whole and in order, and every
+//! other end is an error.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use schema::call::{Chunk, Message, message::Kind as Content};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use types::Deadline;
+use wire::{Connection, Error, Frame, Kind, PING_INTERVAL, PING_LIMIT, Stream};
+
+fn chunk(data: &[u8]) -> Message {
+    Message {
+        kind: Some(Content::Chunk(Chunk {
+            data: data.to_vec(),
+        })),
+    }
+}
+
+fn data(frame: Frame<Message>) -> Vec<u8> {
+    match frame.message.kind {
+        Some(Content::Chunk(chunk)) => chunk.data,
+        other => panic!("not a chunk: {other:?}"),
+    }
+}
+
+/// Sends every message back and ends the stream properly.
+async fn echo(_kind: Kind, mut stream: Stream) {
+    while let Ok(Some(frame)) = stream.receiver.recv::<Message>().await {
+        if stream.sender.send(&frame.message).await.is_err() {
+            return;
+        }
+    }
+    let _ = stream.sender.finish();
+}
+
+/// Resets the stream after the first message.
+async fn break_off(_kind: Kind, mut stream: Stream) {
+    let frame = stream.receiver.recv::<Message>().await.unwrap().unwrap();
+    stream.sender.send(&frame.message).await.unwrap();
+    stream.sender.reset();
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+async fn serve_echo() -> SocketAddr {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            tokio::spawn(wire::serve(socket, echo));
+        }
+    });
+    address
+}
+
+async fn connect(address: SocketAddr) -> Connection {
+    Connection::connect(address, Deadline::after_ms(5000))
+        .await
+        .unwrap()
+}
+
+/// Guards against answers that reach the stream of another call.
+#[tokio::test]
+async fn many_streams_on_one_connection_keep_their_own_messages() {
+    let connection = connect(serve_echo().await).await;
+    let mut calls = Vec::new();
+    for call in 0..64u8 {
+        let connection = connection.clone();
+        calls.push(tokio::spawn(async move {
+            let mut stream = connection.open(Kind::Call).await.unwrap();
+            for part in 0..20u8 {
+                let body = vec![call ^ part; 30_000];
+                stream.sender.send(&chunk(&body)).await.unwrap();
+                assert_eq!(data(stream.receiver.recv().await.unwrap().unwrap()), body);
+            }
+            stream.sender.finish().unwrap();
+            assert!(stream.receiver.recv::<Message>().await.unwrap().is_none());
+        }));
+    }
+    for call in calls {
+        call.await.unwrap();
+    }
+}
+
+/// Guards against a broken stream that looks like a proper end.
+#[tokio::test]
+async fn reset_is_an_error() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (socket, _) = listener.accept().await.unwrap();
+        wire::serve(socket, break_off).await
+    });
+    let mut stream = connect(address).await.open(Kind::Call).await.unwrap();
+    stream.sender.send(&chunk(b"one")).await.unwrap();
+    let first = stream.receiver.recv::<Message>().await;
+    let end = match first {
+        Ok(Some(_)) => stream.receiver.recv::<Message>().await,
+        other => other,
+    };
+    assert!(matches!(end, Err(Error::Stream(_))), "{end:?}");
+}
+
+/// Copies bytes between two sockets until `limit` bytes have come from the server, then closes.
+async fn relay(client: TcpStream, server: SocketAddr, limit: usize) {
+    let server = TcpStream::connect(server).await.unwrap();
+    let (mut client_read, mut client_write) = client.into_split();
+    let (mut server_read, mut server_write) = server.into_split();
+    let upload = tokio::spawn(async move {
+        let _ = tokio::io::copy(&mut client_read, &mut server_write).await;
+    });
+    let mut left = limit;
+    let mut buffer = [0; 4096];
+    while left > 0 {
+        let room = left.min(buffer.len());
+        let count = server_read.read(&mut buffer[..room]).await.unwrap_or(0);
+        if count == 0 || client_write.write_all(&buffer[..count]).await.is_err() {
+            break;
+        }
+        left -= count;
+    }
+    upload.abort();
+}
+
+/// Guards against a message or a proper end that appears out of a connection cut at any byte.
+#[tokio::test]
+async fn connection_cut_at_every_byte_never_gives_a_false_message() {
+    let server = serve_echo().await;
+    let body = b"a short body".to_vec();
+    let mut whole = 0;
+    for limit in 1..240 {
+        let (listener, address) = listen().await;
+        let cut = tokio::spawn(async move {
+            let (client, _) = listener.accept().await.unwrap();
+            relay(client, server, limit).await;
+        });
+        let exchange = async {
+            let mut stream = Connection::connect(address, Deadline::after_ms(5000))
+                .await?
+                .open(Kind::Call)
+                .await?;
+            stream.sender.send(&chunk(&body)).await?;
+            stream.sender.finish()?;
+            let frame = stream.receiver.recv::<Message>().await?;
+            assert_eq!(frame.map(data), Some(body.clone()));
+            let end = stream.receiver.recv::<Message>().await?;
+            assert!(end.is_none());
+            Ok::<(), Error>(())
+        };
+        whole += usize::from(
+            timeout(Duration::from_secs(10), exchange)
+                .await
+                .unwrap()
+                .is_ok(),
+        );
+        cut.abort();
+    }
+    assert!(whole < 239, "no connection was cut");
+    assert!(whole > 0, "every connection was cut");
+}
+
+/// Guards against a connection that stays in use after its path has lost track of it.
+#[tokio::test]
+async fn silent_connection_is_closed_within_the_ping_limits() {
+    let server = serve_echo().await;
+    let (listener, address) = listen().await;
+    let (silence, mut silent) = tokio::sync::watch::channel(false);
+    tokio::spawn(async move {
+        let (client, _) = listener.accept().await.unwrap();
+        let server = TcpStream::connect(server).await.unwrap();
+        let (mut client_read, mut client_write) = client.into_split();
+        let (mut server_read, mut server_write) = server.into_split();
+        tokio::select! {
+            _ = tokio::io::copy(&mut client_read, &mut server_write) => {}
+            _ = tokio::io::copy(&mut server_read, &mut client_write) => {}
+            _ = silent.wait_for(|silent| *silent) => {}
+        }
+        // Both sockets stay open, but nothing is forwarded any more.
+        std::future::pending::<()>().await;
+    });
+    let connection = connect(address).await;
+    let mut stream = connection.open(Kind::Control).await.unwrap();
+    stream.sender.send(&chunk(b"alive")).await.unwrap();
+    assert_eq!(
+        data(stream.receiver.recv().await.unwrap().unwrap()),
+        b"alive"
+    );
+    silence.send_replace(true);
+    // Twice the design bound of 2 s, because the machine that runs the tests is shared.
+    let bound = 2 * (PING_INTERVAL + PING_LIMIT);
+    let end = timeout(bound, stream.receiver.recv::<Message>()).await;
+    assert!(matches!(end, Ok(Err(_))), "{end:?}");
+    assert!(connection.is_closed());
+}
+
+/// Guards against peers of unequal protocol versions that misread each other's messages.
+#[tokio::test]
+async fn unequal_protocol_version_is_refused_with_both_versions() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (socket, _) = listener.accept().await.unwrap();
+        let mut peer = h2::server::handshake(socket).await.unwrap();
+        while let Some(Ok((_, mut response))) = peer.accept().await {
+            let head = http::Response::builder()
+                .status(505)
+                .header("dandelionseam-protocol", "99")
+                .body(())
+                .unwrap();
+            response.send_response(head, true).unwrap();
+        }
+    });
+    let mut stream = connect(address).await.open(Kind::Control).await.unwrap();
+    let reply = stream.receiver.recv::<Message>().await;
+    match reply {
+        Err(Error::Protocol { theirs, .. }) => assert_eq!(theirs, "99"),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a server that accepts streams of another protocol version or path.
+#[tokio::test]
+async fn server_refuses_other_versions_and_paths() {
+    for (path, version, status) in [
+        ("/control", "2", 505),
+        ("/control", "x", 505),
+        ("/other", "1", 404),
+    ] {
+        let socket = TcpStream::connect(serve_echo().await).await.unwrap();
+        let (mut requests, connection) = h2::client::handshake(socket).await.unwrap();
+        tokio::spawn(connection);
+        let request = http::Request::post(format!("http://peer{path}"))
+            .header("dandelionseam-protocol", version)
+            .body(())
+            .unwrap();
+        let (response, _) = requests.send_request(request, true).unwrap();
+        assert_eq!(
+            response.await.unwrap().status().as_u16(),
+            status,
+            "{path} {version}"
+        );
+    }
+}
+
+/// Sends raw bytes as the data of a stream and returns what the receiver makes of them.
+async fn receive_raw(bytes: Vec<u8>) -> Result<Option<Frame<Message>>, Error> {
+    let (listener, address) = listen().await;
+    let receiving = tokio::spawn(async move {
+        let (socket, _) = listener.accept().await.unwrap();
+        let (result, received) = tokio::sync::oneshot::channel();
+        let result = std::sync::Mutex::new(Some(result));
+        let serving = wire::serve(socket, move |_, mut stream: Stream| {
+            let result = result.lock().unwrap().take();
+            async move {
+                let message = stream.receiver.recv::<Message>().await;
+                let _ = result.unwrap().send(message);
+            }
+        });
+        tokio::select! {
+            ended = serving => panic!("connection ended first: {ended:?}"),
+            message = received => message.unwrap(),
+        }
+    });
+    let socket = TcpStream::connect(address).await.unwrap();
+    let (mut requests, connection) = h2::client::handshake(socket).await.unwrap();
+    tokio::spawn(connection);
+    let request = http::Request::post("http://peer/call")
+        .header("dandelionseam-protocol", wire::PROTOCOL)
+        .body(())
+        .unwrap();
+    let (_response, mut sender) = requests.send_request(request, false).unwrap();
+    sender.send_data(bytes.into(), true).unwrap();
+    receiving.await.unwrap()
+}
+
+/// Guards against a length prefix that makes the receiver allocate without bound.
+#[tokio::test]
+async fn oversize_frame_is_refused() {
+    let reply = receive_raw(u32::MAX.to_le_bytes().to_vec()).await;
+    assert!(matches!(reply, Err(Error::Large(_))), "{reply:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 32, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a panic or a false message on random bytes from a peer.
+    #[test]
+    fn random_bytes_give_an_error_or_a_message(bytes in proptest::collection::vec(any::<u8>(), 1..64)) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let reply = runtime.block_on(receive_raw(bytes.clone()));
+        if let Ok(Some(frame)) = reply {
+            let length = u32::from_le_bytes(bytes[..4].try_into().unwrap()) as usize;
+            prop_assert_eq!(schema::codec::decode::<Message>(&bytes[4..4 + length]).unwrap(), frame.message);
+        }
+    }
+}
