--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -113,6 +113,6 @@
 /// Ends when the connection is closed on purpose. When all handles are gone, open streams go on.
 async fn wait_stop(stopped: &mut watch::Receiver<bool>) {
     if stopped.wait_for(|stop| *stop).await.is_err() {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
--- a/crates/wire/tests/contract.rs
+++ b/crates/wire/tests/contract.rs
@@ -1,6 +1,8 @@
 //! Contract of connections and streams: what arrives is what was sent, whole and in order, and every
 //! other end is an error.
 
+#![allow(clippy::unwrap_used)]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
