--- /dev/null
+++ b/crates/call/src/announcement.rs
@@ -0,0 +1,60 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use types::{id, size};
+
+/// What an upstream says about itself to the node beside it, every second.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// Service that the upstream runs.
+    pub service: id::Service,
+    /// Address of its HTTP port.
+    pub address: SocketAddr,
+    /// Calls that it runs at the same time.
+    pub slots: size::Slots,
+    /// Connections that it accepts.
+    pub connections: size::Connections,
+    /// State that it is in.
+    pub state: State,
+    /// Path of its health endpoint.
+    pub health: String,
+}
+
+/// State that an upstream announces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// It does not take calls yet.
+    Starting,
+    /// It takes calls.
+    Ready,
+    /// It finishes what runs and takes no new calls.
+    Draining,
+}
+
+impl Announcement {
+    /// Creates the announcement of a ready upstream whose health endpoint is `/health`.
+    #[must_use]
+    pub fn new(
+        service: id::Service,
+        address: SocketAddr,
+        slots: size::Slots,
+        connections: size::Connections,
+    ) -> Self {
+        Self {
+            service,
+            address,
+            slots,
+            connections,
+            state: State::Ready,
+            health: "/health".to_owned(),
+        }
+    }
+
+    /// Sets the state.
+    #[must_use]
+    pub const fn with_state(mut self, state: State) -> Self {
+        self.state = state;
+        self
+    }
+}
--- /dev/null
+++ b/crates/route/src/admission.rs
@@ -0,0 +1,243 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use types::{Deadline, size};
+
+use crate::{Load, limit::Limit};
+
+/// Share of a new sample in the average service time.
+const SMOOTHING: f64 = 0.1;
+
+/// Call that waits for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
+
+/// Reason why a call is not admitted. It has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// No time is left.
+    Late,
+    /// The queue is full.
+    QueueFull,
+    /// The deadline passes before a slot is expected to be free.
+    Slow,
+}
+
+impl Refusal {
+    /// Short text for headers, accounts and log lines.
+    #[must_use]
+    pub const fn reason(self) -> &'static str {
+        match self {
+            Self::Late => "deadline passed before hand-over",
+            Self::QueueFull => "queue full",
+            Self::Slow => "deadline cannot be met",
+        }
+    }
+}
+
+/// Decision on a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The call has a slot.
+    Admit,
+    /// The call waits until [`Admission::next`] returns its ticket.
+    Wait(Ticket),
+    /// The call is refused.
+    Refuse(Refusal),
+}
+
+/// Admission of calls to one target: slots, a bounded queue and the estimated wait.
+#[derive(Debug)]
+pub struct Admission {
+    limit: Limit,
+    queue_limit: size::Queue,
+    in_use: u32,
+    queue: VecDeque<(Ticket, Deadline)>,
+    next_ticket: u64,
+    /// Average service time, in seconds.
+    service_time: f64,
+    refused: Refused,
+}
+
+impl Admission {
+    /// Creates the admission of a target that became ready at `now`.
+    #[must_use]
+    pub fn new(slots: size::Slots, queue_limit: size::Queue, now: Instant) -> Self {
+        Self {
+            limit: Limit::new(slots, now),
+            queue_limit,
+            in_use: 0,
+            queue: VecDeque::new(),
+            next_ticket: 0,
+            service_time: 0.0,
+            refused: Refused::new(now),
+        }
+    }
+
+    /// Changes the declared sizes; calls that run or wait are kept.
+    pub fn resize(&mut self, slots: size::Slots, queue_limit: size::Queue) {
+        self.limit.resize(slots);
+        self.queue_limit = queue_limit;
+    }
+
+    /// Marks that the upstream was replaced, so that it counts as cold again.
+    pub fn restart(&mut self, now: Instant) {
+        self.limit.restart(now);
+    }
+
+    /// Decides on a call that arrived at `now`.
+    pub fn admit(&mut self, deadline: Deadline, now: Instant) -> Decision {
+        match self.decide(deadline, now) {
+            Ok(()) if self.queue.is_empty() && self.in_use < self.limit.get(now) => {
+                self.in_use += 1;
+                Decision::Admit
+            }
+            Ok(()) => {
+                let ticket = Ticket(self.next_ticket);
+                self.next_ticket += 1;
+                self.queue.push_back((ticket, deadline));
+                Decision::Wait(ticket)
+            }
+            Err(refusal) => {
+                self.refused.count(now);
+                Decision::Refuse(refusal)
+            }
+        }
+    }
+
+    fn decide(&self, deadline: Deadline, now: Instant) -> Result<(), Refusal> {
+        if deadline.has_passed(now) {
+            return Err(Refusal::Late);
+        }
+        if self.queue.is_empty() && self.in_use < self.limit.get(now) {
+            return Ok(());
+        }
+        if self.queue.len() >= self.queue_limit.get() as usize {
+            return Err(Refusal::QueueFull);
+        }
+        if self.wait(now) >= deadline.remaining(now) {
+            return Err(Refusal::Slow);
+        }
+        Ok(())
+    }
+
+    /// Frees the slot of a call that was admitted and took `took`.
+    pub fn complete(&mut self, took: Duration) {
+        self.in_use = self.in_use.saturating_sub(1);
+        let sample = took.as_secs_f64();
+        if self.service_time == 0.0 {
+            self.service_time = sample;
+        } else {
+            self.service_time += SMOOTHING * (sample - self.service_time);
+        }
+    }
+
+    /// Frees the slot of a call that never reached the upstream, which says nothing about its speed.
+    pub fn release(&mut self) {
+        self.in_use = self.in_use.saturating_sub(1);
+    }
+
+    /// Gives a free slot to the next call in the queue whose deadline has not passed.
+    ///
+    /// Returns the ticket of each call that left the queue with its decision; call it after each
+    /// change until it returns `None`.
+    pub fn next(&mut self, now: Instant) -> Option<(Ticket, Result<(), Refusal>)> {
+        let (_, deadline) = self.queue.front()?;
+        let late = deadline.has_passed(now);
+        if !late && self.in_use >= self.limit.get(now) {
+            return None;
+        }
+        let (ticket, _) = self.queue.pop_front()?;
+        if late {
+            self.refused.count(now);
+            return Some((ticket, Err(Refusal::Late)));
+        }
+        self.in_use += 1;
+        Some((ticket, Ok(())))
+    }
+
+    /// Removes a call that no longer waits; false when it was not in the queue.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let place = self.queue.iter().position(|(queued, _)| *queued == ticket);
+        place.and_then(|place| self.queue.remove(place)).is_some()
+    }
+
+    /// Lowers the limit after the upstream itself refused a call as too much.
+    pub fn shed(&mut self, now: Instant) {
+        self.limit.shed(now);
+        self.refused.count(now);
+    }
+
+    /// Load to report to callers' nodes.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> Load {
+        Load {
+            in_use: self.in_use,
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            slots: self.limit.get(now),
+            wait_us: u64::try_from(self.wait(now).as_micros()).unwrap_or(u64::MAX),
+            shed: self.refused.last_second(now),
+            cold: self.limit.is_cold(now),
+        }
+    }
+
+    /// Slots in use.
+    #[must_use]
+    pub const fn in_use(&self) -> u32 {
+        self.in_use
+    }
+
+    /// Slots that may be in use at `now`.
+    #[must_use]
+    pub fn limit(&self, now: Instant) -> u32 {
+        self.limit.get(now)
+    }
+
+    /// Estimated wait of a call that arrives at `now`.
+    fn wait(&self, now: Instant) -> Duration {
+        let limit = self.limit.get(now);
+        if self.queue.is_empty() && self.in_use < limit {
+            return Duration::ZERO;
+        }
+        let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let rounds = (f64::from(ahead) + 1.0) / f64::from(limit);
+        Duration::try_from_secs_f64(rounds * self.service_time).unwrap_or(Duration::MAX)
+    }
+}
+
+/// Calls refused in the current and the last second.
+#[derive(Debug)]
+struct Refused {
+    since: Instant,
+    current: u32,
+    last: u32,
+}
+
+impl Refused {
+    const fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            current: 0,
+            last: 0,
+        }
+    }
+
+    fn count(&mut self, now: Instant) {
+        let age = now.saturating_duration_since(self.since).as_secs();
+        if age > 0 {
+            self.last = if age == 1 { self.current } else { 0 };
+            self.current = 0;
+            self.since = now;
+        }
+        self.current = self.current.saturating_add(1);
+    }
+
+    fn last_second(&self, now: Instant) -> u32 {
+        match now.saturating_duration_since(self.since).as_secs() {
+            0 => self.current.max(self.last),
+            1 => self.current,
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/bucket.rs
@@ -0,0 +1,34 @@
+use tokio::time::Instant;
+use types::rate::PerSecond;
+
+/// Token bucket that time fills.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    tokens: f64,
+    burst: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    /// Creates a full bucket that holds at most `burst` tokens.
+    #[must_use]
+    pub fn new(burst: u32, now: Instant) -> Self {
+        Self {
+            tokens: f64::from(burst),
+            burst: f64::from(burst),
+            filled: now,
+        }
+    }
+
+    /// Takes one token; `rate` tokens a second have been added since the last call.
+    pub fn try_take(&mut self, rate: PerSecond, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + elapsed * rate.get()).min(self.burst);
+        self.filled = now;
+        let allowed = self.tokens >= 1.0;
+        if allowed {
+            self.tokens -= 1.0;
+        }
+        allowed
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,35 @@
-//! Decisions of the call path: route match, target choice, admission, retry budget.
+//! Decisions of the call path, as plain functions and structs on plain data.
+//!
+//! - [`Picture`] chooses a target from [`Candidate`]s by [`Tier`], subset, load and recent failures.
+//! - [`Admission`] decides whether a target takes a call, lets it wait or refuses it.
+//! - [`Budget`] bounds retries, [`Bucket`] bounds keyed calls.
+//!
+//! Nothing here reads a clock, draws its own random numbers or does I/O: `now` and the random source
+//! are arguments.
+//!
+//! ```
+//! use route::{Admission, Decision, Refusal};
+//! use tokio::time::Instant;
+//! use types::{Deadline, size};
+//!
+//! let now = Instant::now();
+//! let deadline = Deadline::after_ms(100);
+//! let mut admission = Admission::new(size::Slots::new(1), size::Queue::new(0), now);
+//! assert_eq!(admission.admit(deadline, now), Decision::Admit);
+//! assert_eq!(admission.admit(deadline, now), Decision::Refuse(Refusal::QueueFull));
+//! ```
+
+mod admission;
+mod bucket;
+mod budget;
+mod candidate;
+mod limit;
+mod load;
+mod picture;
+
+pub use admission::{Admission, Decision, Refusal, Ticket};
+pub use bucket::Bucket;
+pub use budget::Budget;
+pub use candidate::{Candidate, Place, Tier};
+pub use load::Load;
+pub use picture::{Choice, Picture, Scope};
