--- /dev/null
+++ b/crates/bundle/tests/validation.rs
@@ -0,0 +1,314 @@
+//! Faults of operator files and of whole configurations.
+
+mod common;
+
+use std::fs;
+use std::path::Path;
+
+use bundle::{Bundle, PIECE_LIMIT, SERVICE_LIMIT, Service, read_folder, validate};
+use common::{plain, service};
+use schema::{bundle::ServiceConfig, codec};
+use types::{Findings, Timestamp, Version};
+
+const HEAD: &str = "[service]\nname = a\nowner = o\n";
+
+fn shown(findings: &Findings) -> Vec<String> {
+    findings.sorted().iter().map(ToString::to_string).collect()
+}
+
+/// Findings of a directory with these files, with the directory's name cut off.
+fn check(files: &[(&str, &str)]) -> Vec<String> {
+    let directory = tempfile::tempdir().unwrap();
+    for (name, text) in files {
+        let path = directory.path().join(name);
+        fs::create_dir_all(path.parent().unwrap()).unwrap();
+        fs::write(path, text).unwrap();
+    }
+    let (folder, mut findings) = read_folder([directory.path()]);
+    findings.append(folder.validate([]));
+    let prefix = format!("{}/", directory.path().display());
+    shown(&findings)
+        .iter()
+        .map(|text| text.replace(&prefix, ""))
+        .collect()
+}
+
+/// Guards against a fault of one file that is accepted, or reported without its place.
+#[test]
+fn faults_of_one_file() {
+    let table: &[(&str, &[&str])] = &[
+        (
+            "[route r]\npath = /a\nmethods = GET, POST\nrepeatable = yes\n",
+            &[],
+        ),
+        ("[route r]\npath = /\n[route s]\npath = /a/b.c~\n", &[]),
+        (
+            "[route r]\npath = a\n",
+            &["a.ini:5: route r.path: path `a` does not start with `/`"],
+        ),
+        (
+            "[route r]\npath = /a/\n",
+            &["a.ini:5: route r.path: path `/a/` has an empty segment or ends with `/`"],
+        ),
+        (
+            "[route r]\npath = /a/../b\n",
+            &["a.ini:5: route r.path: path `/a/../b` has the segment `..`"],
+        ),
+        (
+            "[route r]\npath = /a?b\n",
+            &[
+                "a.ini:5: route r.path: path `/a?b` holds the character '?', which a path cannot have",
+            ],
+        ),
+        (
+            "[route r]\npath = /a%2Fb\n",
+            &[
+                "a.ini:5: route r.path: path `/a%2Fb` holds the character '%', which a path cannot have",
+            ],
+        ),
+        (
+            "[route r]\nmethods = GET\n",
+            &["a.ini:4: route r.path: required key is missing"],
+        ),
+        (
+            "[route r]\npath = /a\nmethods = post\n",
+            &[
+                "a.ini:6: route r.methods: method `post` is none of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS (did you mean `POST`?)",
+            ],
+        ),
+        (
+            "[route r]\npath = /a\nmethods = GET, GET\n",
+            &["a.ini:6: route r.methods: method `GET` appears twice"],
+        ),
+        (
+            "[route r]\npath = /a\nmethods =\n",
+            &["a.ini:6: route r.methods: value is empty"],
+        ),
+        (
+            "[route r/s]\npath = /a\n",
+            &["a.ini:4: route r/s: `r/s` may hold only letters, digits, `-`, `_` and `.`"],
+        ),
+        (
+            "[route r]\npath = /a\n[route s]\npath = /a\nmethods = GET\n",
+            &[
+                "a.ini:7: route s.path: path `/a` with the same method is in route `r` of service `a` (a.ini) already",
+            ],
+        ),
+        (
+            "[route r]\npath = /a\nservice = aa\n",
+            &["a.ini:6: route r.service: service `aa` does not exist"],
+        ),
+        (
+            "slots = 12\nconnections = 11\n",
+            &["a.ini:5: service.connections: 11 connections cannot fill 12 slots"],
+        ),
+        (
+            "slots = 0\n",
+            &["a.ini:4: service.slots: 0 is not between 1 and 10000"],
+        ),
+        (
+            "[retry]\nattempts = 2\nbudget_percent = 0\n",
+            &["a.ini:6: retry.budget_percent: 2 attempts contradict a retry budget of 0%"],
+        ),
+        (
+            "[placement]\nreach = domain\nsubset = 2\n[retry]\nattempts = 3\n",
+            &[
+                "a.ini:8: retry.attempts: 3 attempts are more than the 2 targets that subset 2 and reach domain allow",
+            ],
+        ),
+        (
+            "[placement]\nreach = all\n",
+            &["a.ini:5: placement.reach: `all` is not one of: domain, region, any"],
+        ),
+        (
+            "[routes r]\npath = /a\n",
+            &["a.ini:4: routes r: unknown section (did you mean `route`?)"],
+        ),
+    ];
+    for (text, expected) in table {
+        assert_eq!(
+            check(&[("a.ini", &format!("{HEAD}{text}"))]),
+            *expected,
+            "{text}"
+        );
+    }
+}
+
+/// Guards against faults between files that no single file shows, and against one fault hiding another.
+#[test]
+fn faults_between_files() {
+    let files = [
+        (
+            "a.ini",
+            "[service]\nname = renewals\nowner = caroni\n[route r]\npath = /r\nmethods = POST\n",
+        ),
+        (
+            "b/b.ini",
+            "[service]\nname = renewals\nowner = koperglans\n[route r]\npath = /r\nmethods = GET, POST\n",
+        ),
+        ("c.ini", "[service]\nname = c\n[route r]\npath = x\n"),
+        (
+            "d.ini",
+            "[service]\nname = d\nowner = caroni\nslotz = 1\n[route r]\npath = /d\nservice = renewal\n",
+        ),
+        (
+            "e.ini",
+            "[service]\nname = e\nowner = caroni\n[route r]\npath = /e\nservice = d\n",
+        ),
+        ("f.txt", "not an operator file"),
+    ];
+    assert_eq!(
+        check(&files),
+        [
+            "b/b.ini:2: service.name: service `renewals` is defined in a.ini already",
+            "b/b.ini:3: service.owner: service `renewals` has the owner `caroni` in a.ini already",
+            "b/b.ini:5: route r.path: path `/r` with the same method is in route `r` of service `renewals` (a.ini) already",
+            "c.ini:1: service.owner: required key is missing",
+            "d.ini:4: service.slotz: unknown key (did you mean `slots`?)",
+            "d.ini:7: route r.service: service `renewal` does not exist (did you mean `renewals`?)",
+        ]
+    );
+}
+
+/// Guards against input that cannot be read and passes as no input.
+#[test]
+fn unreadable_input_is_reported() {
+    let directory = tempfile::tempdir().unwrap();
+    let at = |name: &str| directory.path().join(name);
+    fs::write(at("binary.ini"), b"[service]\nname = \xff\n").unwrap();
+    fs::write(at("large.ini"), vec![b';'; 1024 * 1024 + 1]).unwrap();
+    fs::create_dir(at("empty")).unwrap();
+    let (folder, findings) =
+        read_folder([at("binary.ini"), at("empty"), at("large.ini"), at("none")]);
+    assert!(folder.sources.is_empty());
+    let messages: Vec<_> = findings
+        .sorted()
+        .iter()
+        .map(|finding| (finding.line, finding.message.clone()))
+        .collect();
+    assert_eq!(
+        messages[..2],
+        [
+            (2, "is not UTF-8 text".into()),
+            (0, "holds no file *.ini".into())
+        ]
+    );
+    assert_eq!(
+        messages[2],
+        (0, "has 1048577 bytes; the limit is 1048576".into())
+    );
+    assert!(messages[3].1.starts_with("cannot be read"), "{messages:?}");
+}
+
+/// Guards against findings about published services that take their line from a file of the folder.
+#[test]
+fn published_services_are_checked_without_a_line() {
+    let directory = tempfile::tempdir().unwrap();
+    fs::write(
+        directory.path().join("b.ini"),
+        "[service]\nname = b\nowner = o\n",
+    )
+    .unwrap();
+    let published = service(
+        "a.ini",
+        "[service]\nname = a\nowner = o\n[route r]\npath = /a\nservice = c\n",
+    );
+    let (folder, findings) = read_folder([directory.path()]);
+    assert!(findings.is_empty());
+    assert_eq!(
+        shown(&folder.validate([&published])),
+        ["a.ini:0: route r.service: service `c` does not exist"]
+    );
+}
+
+/// Guards against values that no file reader has seen and a node would accept.
+#[test]
+fn ranges_are_checked_without_a_file() {
+    let mut bad = plain("a", "o", "x");
+    bad.slots = types::size::Slots::new(0);
+    bad.subset = 0;
+    bad.attempts = 11;
+    bad.routes[0].deadline_ms = 0;
+    bad.routes.push(bad.routes[0].clone());
+    let findings = validate([&bad]);
+    let mut keys: Vec<_> = findings
+        .sorted()
+        .iter()
+        .map(|finding| finding.key.clone())
+        .collect();
+    keys.sort_unstable();
+    keys.dedup();
+    assert_eq!(
+        keys,
+        [
+            "placement.subset",
+            "retry.attempts",
+            "route main",
+            "route main.deadline_ms",
+            "route main.path",
+            "service.slots"
+        ]
+    );
+    assert!(Bundle::new(Version::new(1), Timestamp::default(), [bad]).is_err());
+}
+
+/// Guards against a piece that the store refuses because the size bound was too low, and against more
+/// services than a manifest holds.
+#[test]
+fn sizes_are_limited() {
+    let with_routes = |count: usize| {
+        let mut large = plain("large", "o", "x");
+        let route = large.routes[0].clone();
+        large.routes = (0..count)
+            .map(|index| bundle::Route {
+                name: format!("r{index}").parse().unwrap(),
+                path: format!("/{index}"),
+                ..route.clone()
+            })
+            .collect();
+        large
+    };
+    let accepted = (1..20_000)
+        .step_by(500)
+        .take_while(|count| validate([&with_routes(*count)]).is_empty())
+        .last()
+        .unwrap();
+    assert!(accepted > 1000);
+    let size = codec::encode(&ServiceConfig::from(&with_routes(accepted)))
+        .unwrap()
+        .len() as u64;
+    assert!(size <= PIECE_LIMIT, "{size}");
+    let refused = validate([&with_routes(accepted + 500)]);
+    assert!(
+        refused.sorted()[0].message.ends_with("the limit is 262144"),
+        "{refused}"
+    );
+
+    let many: Vec<Service> = (0..=SERVICE_LIMIT)
+        .map(|index| plain(&format!("s{index}"), "o", "x"))
+        .collect();
+    assert!(validate(&many[1..]).is_empty());
+    assert_eq!(
+        shown(&validate(&many)),
+        ["all files:0: 10001 services are more than 10000"]
+    );
+}
+
+/// Guards against example files that the tool would refuse.
+#[test]
+fn example_files_are_valid() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for (deployment, expected) in [
+        ("caroni", ["pack-store", "renewals", "status-desk"]),
+        ("koperglans", ["archief", "registry", "rounds"]),
+    ] {
+        let (folder, mut findings) = read_folder([examples.join(deployment)]);
+        findings.append(folder.validate([]));
+        assert!(findings.is_empty(), "{findings}");
+        let names: Vec<_> = folder
+            .services()
+            .map(|service| service.name.as_str())
+            .collect();
+        assert_eq!(names, expected);
+    }
+}
