--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`size`] and [`rate`]: amounts with their unit in the type.
 //! - [`Deadline`]: a point in time; durations are turned into deadlines where they enter.
 //! - [`Outcome`] and [`Fault`]: what is known about a failed call.
+//! - [`report`]: JSON of the admin port, shared by the node and the tool.
 //! - [`Finding`] and [`Findings`]: every fault of an input, with its place.
 //!
 //! ```
@@ -23,6 +24,7 @@
 mod incarnation;
 mod outcome;
 pub mod rate;
+pub mod report;
 pub mod size;
 mod timestamp;
 mod version;
