--- a/crates/settings/tests/documents.rs
+++ b/crates/settings/tests/documents.rs
@@ -167,7 +167,7 @@
         let reported: Vec<u32> = findings.sorted().iter().map(|finding| finding.line).collect();
         // Keys of a refused section are left out with it.
         let refused = findings.sorted().iter().any(|finding| finding.message.starts_with("section") || finding.message.ends_with("section header"));
-        for (line, text) in (1..).zip(text.replace('\r', "\n").split('\n')) {
+        for (line, text) in (1..).zip(text.replace("\r\n", "\n").replace('\r', "\n").split('\n')) {
             let is_empty = text.trim().is_empty() || text.trim().starts_with([';', '#']);
             prop_assert!(is_empty || refused || kept(line) || reported.contains(&line), "line {line}: {text:?}");
         }
