--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -101,6 +101,18 @@
             .then_with(|| self.content_hash().cmp(&other.content_hash()))
     }
 
+    /// Record with which a node answers a newer record about itself that it has not made: `self`
+    /// with a sequence above that of `seen`. The incarnation may have to rise too, because an
+    /// earlier process can have run with a clock that was ahead.
+    #[must_use]
+    pub fn refute(&self, seen: &Self) -> Self {
+        Self {
+            incarnation: self.incarnation.max(seen.incarnation),
+            sequence: self.sequence.max(seen.sequence).saturating_add(1),
+            ..self.clone()
+        }
+    }
+
     /// Hash of all fields but incarnation, sequence and state.
     #[must_use]
     pub fn content(&self) -> u32 {
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -26,8 +26,10 @@
     Old,
     /// The node was not known.
     Added,
-    /// The record replaced an older one.
+    /// The record replaced one with other content.
     Replaced,
+    /// Only incarnation, sequence or state changed, so a [`Change`] tells everything.
+    Changed,
     /// The change belongs to a record that the table does not hold.
     Missing,
 }
@@ -36,7 +38,7 @@
     /// Whether the table has changed.
     #[must_use]
     pub const fn is_news(self) -> bool {
-        matches!(self, Self::Added | Self::Replaced)
+        matches!(self, Self::Added | Self::Replaced | Self::Changed)
     }
 }
 
@@ -97,9 +99,10 @@
                 Merge::Added
             }
             Some(key) if record.precedence(&self.entries[key].record).is_gt() => {
+                let same = self.entries[key].record.content() == record.content();
                 self.remove(key);
                 self.insert(record, gone);
-                Merge::Replaced
+                if same { Merge::Changed } else { Merge::Replaced }
             }
             Some(_) => Merge::Old,
         }
--- /dev/null
+++ b/crates/spread/src/admission.rs
@@ -0,0 +1,148 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use member::{Record, may_adopt, priority};
+use tokio::time::Instant;
+use types::id;
+
+/// New children that a node accepts in one second.
+pub const NEW_CHILDREN: u32 = 32;
+
+/// Snapshots that a node sends at the same time.
+pub const SNAPSHOTS: usize = 4;
+
+/// Standby links for each child that a node accepts. They carry heartbeats only.
+pub const STANDBYS: usize = 4;
+
+/// Place of this node in its region.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    /// A node below the root, attached or not.
+    #[default]
+    Member,
+    /// The node acts as root for membership while the store is down.
+    Acting,
+    /// The node holds the reader lease until the instant.
+    Reader(Instant),
+}
+
+impl Role {
+    /// Whether the node is the root of its region at `now`.
+    #[must_use]
+    pub fn is_root(self, now: Instant) -> bool {
+        match self {
+            Self::Member => false,
+            Self::Acting => true,
+            Self::Reader(until) => now < until,
+        }
+    }
+
+    /// Whether the node may act as reader at `now`.
+    #[must_use]
+    pub fn is_reader(self, now: Instant) -> bool {
+        matches!(self, Self::Reader(until) if now < until)
+    }
+}
+
+/// Reason why a child was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The child must have a parent nearer to the top of the tree.
+    Order,
+    /// The node has as many children as it accepts.
+    Full,
+    /// The node has accepted as many new children in this second as it may.
+    Rate,
+    /// All snapshots that may be sent at the same time are under way.
+    Snapshots,
+}
+
+impl Refusal {
+    /// Text for the peer and the log.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Order => "not a parent for this node",
+            Self::Full => "full",
+            Self::Rate => "too many new children",
+            Self::Snapshots => "too many snapshots",
+        }
+    }
+}
+
+/// Children of a node and the rate at which it accepts new ones.
+#[derive(Debug, Default)]
+pub struct Admission<C> {
+    children: BTreeMap<id::Node, C>,
+    second: Option<Instant>,
+    accepted: u32,
+}
+
+impl<C> Admission<C> {
+    /// Decides whether `child` may attach. `limit` is the largest number of children.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for a refusal.
+    pub fn check(
+        &mut self,
+        (me, role): (&Record, Role),
+        child: &Record,
+        limit: usize,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        if !is_parent_for(me, role, child, now) {
+            return Err(Refusal::Order);
+        }
+        // A child that comes back before its old link is noticed as lost takes its own place.
+        if !self.children.contains_key(&child.id) && self.children.len() >= limit {
+            return Err(Refusal::Full);
+        }
+        let fresh = |second: &Instant| now.duration_since(*second) < Duration::from_secs(1);
+        if !self.second.as_ref().is_some_and(fresh) {
+            self.second = Some(now);
+            self.accepted = 0;
+        }
+        if self.accepted >= NEW_CHILDREN {
+            return Err(Refusal::Rate);
+        }
+        self.accepted += 1;
+        Ok(())
+    }
+
+    /// Adds a child.
+    pub fn insert(&mut self, child: id::Node, state: C) {
+        self.children.insert(child, state);
+    }
+
+    /// State of a child.
+    pub fn get_mut(&mut self, child: &id::Node) -> Option<&mut C> {
+        self.children.get_mut(child)
+    }
+
+    /// Removes a child.
+    pub fn remove(&mut self, child: &id::Node) {
+        self.children.remove(child);
+    }
+
+    /// All children.
+    pub fn iter(&self) -> impl Iterator<Item = (&id::Node, &C)> {
+        self.children.iter()
+    }
+}
+
+/// Whether `child` may attach to this node without risk of a cycle.
+///
+/// A reader takes any node. Of two nodes that both act as root, the one with the lower priority
+/// takes the other.
+#[must_use]
+pub fn is_parent_for(me: &Record, role: Role, child: &Record, now: Instant) -> bool {
+    let root = Record {
+        root: role.is_root(now),
+        ..me.clone()
+    };
+    if role.is_root(now) && !role.is_reader(now) && child.root {
+        return priority(&me.id) < priority(&child.id);
+    }
+    me.id != child.id && may_adopt(&root, child)
+}
--- /dev/null
+++ b/crates/spread/src/placement.rs
@@ -0,0 +1,88 @@
+use std::net::SocketAddr;
+
+use member::{Record, State, Table};
+use types::id;
+
+/// Most addresses that a refusal names.
+const ALTERNATIVES: usize = 8;
+
+/// Peers to ask for a place as a child, in order of preference. `excluded` is a parent that has
+/// turned out to lag.
+#[must_use]
+pub fn parents(
+    table: &Table,
+    me: &Record,
+    fanout: u32,
+    excluded: Option<&id::Node>,
+) -> Vec<SocketAddr> {
+    let mut nodes = member::candidates(table, me, fanout);
+    nodes.extend(table.roots(&me.region).map(|record| record.id.clone()));
+    nodes.extend(member::reader_candidates(table, &me.region));
+    nodes.retain(|node| *node != me.id && Some(node) != excluded);
+    addresses(table, &nodes)
+}
+
+/// Addresses that a refused child should try. Roots come last, because they are few.
+#[must_use]
+pub fn alternatives(table: &Table, child: &Record, me: &id::Node, fanout: u32) -> Vec<SocketAddr> {
+    let mut nodes = member::candidates(table, child, fanout);
+    nodes.truncate(ALTERNATIVES - 2);
+    nodes.extend(table.roots(&child.region).map(|record| record.id.clone()));
+    nodes.retain(|node| *node != child.id && node != me);
+    nodes.truncate(ALTERNATIVES);
+    addresses(table, &nodes)
+}
+
+/// Whether `parent` is where the tree order wants `me` to be attached.
+#[must_use]
+pub fn is_placed(table: &Table, me: &Record, parent: &id::Node, fanout: u32) -> bool {
+    let nodes = member::candidates(table, me, fanout);
+    if nodes.is_empty() {
+        return true;
+    }
+    nodes.contains(parent)
+}
+
+/// Whether the node may try to take the reader lease: it is one of the two reader candidates of
+/// its region and has heard of other nodes, or no peer has answered it.
+#[must_use]
+pub fn is_reader_candidate(table: &Table, me: &Record) -> bool {
+    table.len() > 1 && member::reader_candidates(table, &me.region).contains(&me.id)
+}
+
+/// Whether the node is the lowest live node of its region, which acts as root while no reader can
+/// be chosen.
+#[must_use]
+pub fn is_lowest(table: &Table, me: &Record) -> bool {
+    member::reader_candidates(table, &me.region).first() == Some(&me.id)
+}
+
+/// Whether another live root of the region has a lower priority.
+#[must_use]
+pub fn has_lower_root(table: &Table, me: &Record) -> bool {
+    let mine = member::priority(&me.id);
+    table
+        .roots(&me.region)
+        .any(|root| member::priority(&root.id) < mine)
+}
+
+/// Whether the table shows that the address or the id was in use by an earlier process.
+#[must_use]
+pub fn was_known(table: &Table, child: &Record) -> bool {
+    table.iter().any(|record| {
+        (record.id == child.id || record.address == child.address)
+            && record.incarnation < child.incarnation
+    })
+}
+
+/// Addresses of nodes that have not gone, without repetition.
+#[must_use]
+pub fn addresses(table: &Table, nodes: &[id::Node]) -> Vec<SocketAddr> {
+    let mut addresses = Vec::new();
+    for record in nodes.iter().filter_map(|node| table.get(node)) {
+        if record.state <= State::Draining && !addresses.contains(&record.address) {
+            addresses.push(record.address);
+        }
+    }
+    addresses
+}
--- /dev/null
+++ b/crates/spread/src/shared.rs
@@ -0,0 +1,423 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
+
+use arc_swap::ArcSwap;
+use bundle::Bundle;
+use member::{Merge, Record, State, Table};
+use schema::control::{DomainSummary, Heartbeat, Records};
+use store::Store;
+use tokio::sync::{Semaphore, watch};
+use tokio::time::Instant;
+use types::{Timestamp, Version, id, size::Slots};
+
+use crate::admission::{Admission, Role, SNAPSHOTS};
+use crate::fresh::Fresh;
+use crate::history::History;
+use crate::news::{News, Origin};
+use crate::summary;
+use crate::traffic::Counters;
+use crate::witness::Witness;
+use crate::{Config, Source};
+
+/// State that the tasks of one node share.
+#[derive(Clone)]
+pub(crate) struct Shared(Arc<Node>);
+
+/// Place of this node; it never changes.
+pub(crate) struct Place {
+    pub(crate) id: id::Node,
+    pub(crate) address: SocketAddr,
+    pub(crate) region: id::Region,
+    pub(crate) domain: id::Domain,
+}
+
+/// State of this node. No lock is held over an await.
+pub(crate) struct Node {
+    pub(crate) config: Config,
+    pub(crate) place: Place,
+    pub(crate) store: Option<Store>,
+    pub(crate) news: News,
+    pub(crate) bundles: watch::Sender<Arc<Bundle>>,
+    pub(crate) role: watch::Sender<Role>,
+    pub(crate) attachment: watch::Sender<Attachment>,
+    pub(crate) floor: watch::Sender<Option<Version>>,
+    pub(crate) ready: watch::Sender<bool>,
+    pub(crate) fresh: Fresh,
+    pub(crate) snapshots: Arc<Semaphore>,
+    pub(crate) standbys: AtomicUsize,
+    pub(crate) counters: Counters,
+    pub(crate) closing: watch::Sender<bool>,
+    /// Reader of the region that the store names.
+    pub(crate) reader_address: watch::Sender<Option<SocketAddr>>,
+    /// Set when a standby has been ahead for too long; the parent link then moves.
+    pub(crate) lagging: watch::Sender<bool>,
+    /// Time of the last answer of any peer to an attempt to attach.
+    pub(crate) contact: watch::Sender<Option<Instant>>,
+    /// Whether the mesh may have known this address before the process started.
+    pub(crate) known_before: AtomicBool,
+    bundle: ArcSwap<Bundle>,
+    history: Mutex<History>,
+    table: RwLock<Table>,
+    upstream: Mutex<Option<Upstream>>,
+    witness: Mutex<Witness>,
+    children: Mutex<Admission<Child>>,
+    regions: Mutex<BTreeMap<id::Region, Region>>,
+    convergence_ms: AtomicU64,
+    links: AtomicU64,
+}
+
+/// Service, slots and state of the upstream beside the node.
+pub(crate) type Upstream = (id::Service, Slots, State);
+
+/// Link of this node to its parent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Attachment {
+    /// No parent since the instant.
+    Detached(Instant),
+    /// Child of the node.
+    Attached(id::Node),
+}
+
+/// What a node keeps about a child.
+pub(crate) struct Child {
+    /// Link that serves the child; an older one gives way.
+    pub(crate) link: u64,
+    pub(crate) summaries: Vec<DomainSummary>,
+}
+
+/// What a root keeps about another region.
+pub(crate) struct Region {
+    pub(crate) link: u64,
+    pub(crate) summaries: Vec<DomainSummary>,
+}
+
+impl Deref for Shared {
+    type Target = Node;
+
+    fn deref(&self) -> &Node {
+        &self.0
+    }
+}
+
+impl Shared {
+    pub(crate) fn new(config: Config, me: Record, store: Option<Store>) -> Self {
+        let place = Place {
+            id: me.id.clone(),
+            address: me.address,
+            region: me.region.clone(),
+            domain: me.domain.clone(),
+        };
+        let mut table = Table::default();
+        table.merge(me, Instant::now());
+        let empty = Arc::new(Bundle::empty());
+        Self(Arc::new(Node {
+            config,
+            place,
+            store,
+            news: News::default(),
+            bundles: watch::Sender::new(Arc::clone(&empty)),
+            role: watch::Sender::default(),
+            attachment: watch::Sender::new(Attachment::Detached(Instant::now())),
+            floor: watch::Sender::default(),
+            ready: watch::Sender::default(),
+            fresh: Fresh::default(),
+            snapshots: Arc::new(Semaphore::new(SNAPSHOTS)),
+            standbys: AtomicUsize::new(0),
+            counters: Counters::default(),
+            closing: watch::Sender::default(),
+            reader_address: watch::Sender::default(),
+            lagging: watch::Sender::default(),
+            contact: watch::Sender::default(),
+            known_before: AtomicBool::new(true),
+            bundle: ArcSwap::new(empty),
+            history: Mutex::default(),
+            table: RwLock::new(table),
+            upstream: Mutex::default(),
+            witness: Mutex::default(),
+            children: Mutex::default(),
+            regions: Mutex::default(),
+            convergence_ms: AtomicU64::new(0),
+            links: AtomicU64::new(1),
+        }))
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Node {
+    /// Number for a new link.
+    pub(crate) fn next_link(&self) -> u64 {
+        self.links.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn table(&self) -> RwLockReadGuard<'_, Table> {
+        self.table.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn witness(&self) -> MutexGuard<'_, Witness> {
+        lock(&self.witness)
+    }
+
+    pub(crate) fn children(&self) -> MutexGuard<'_, Admission<Child>> {
+        lock(&self.children)
+    }
+
+    pub(crate) fn regions(&self) -> MutexGuard<'_, BTreeMap<id::Region, Region>> {
+        lock(&self.regions)
+    }
+
+    pub(crate) fn history(&self) -> MutexGuard<'_, History> {
+        lock(&self.history)
+    }
+
+    pub(crate) fn bundle(&self) -> Arc<Bundle> {
+        self.bundle.load_full()
+    }
+
+    pub(crate) fn version(&self) -> Version {
+        self.bundle.load().version
+    }
+
+    pub(crate) fn role(&self) -> Role {
+        *self.role.borrow()
+    }
+
+    pub(crate) fn is_root(&self) -> bool {
+        self.role().is_root(Instant::now())
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
+    /// Waits until the node stops.
+    pub(crate) async fn wait_closing(&self) {
+        // The sender lives as long as `self`, so the wait cannot fail.
+        let _ = self.closing.subscribe().wait_for(|closing| *closing).await;
+    }
+
+    /// Own record as the table holds it.
+    pub(crate) fn me(&self) -> Option<Record> {
+        self.table().get(&self.place.id).cloned()
+    }
+
+    /// Swaps in a newer version. Returns false, and changes nothing, when it is not newer.
+    pub(crate) fn install(&self, bundle: Bundle, source: &str) -> bool {
+        let bundle = Arc::new(bundle);
+        let mut history = self.history();
+        let held = self.bundle();
+        if bundle.version <= held.version {
+            return false;
+        }
+        history.push(&held, &bundle);
+        let convergence = Timestamp::now().since(bundle.published);
+        self.convergence_ms.store(convergence, Ordering::Relaxed);
+        self.bundle.store(Arc::clone(&bundle));
+        self.bundles.send_replace(Arc::clone(&bundle));
+        drop(history);
+        log::info!(
+            node = self.place.id.as_str(), version = bundle.version.get(),
+            from = held.version.get(), convergence_ms = convergence, reason = source;
+            "version applied"
+        );
+        true
+    }
+
+    /// Changes the own record, raises its sequence and spreads it.
+    pub(crate) fn update_me<F>(&self, change: F) -> Option<Record>
+    where
+        F: FnOnce(&mut Record),
+    {
+        let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        let mut me = table.get(&self.place.id)?.clone();
+        change(&mut me);
+        me.sequence = me.sequence.saturating_add(1);
+        let merge = table.merge(me.clone(), Instant::now());
+        drop(table);
+        self.news.publish(&me.id, Origin::Own, merge);
+        Some(me)
+    }
+
+    /// Sets the role; the own record follows.
+    pub(crate) fn set_role(&self, role: Role) {
+        let now = Instant::now();
+        let old = self.role.send_replace(role);
+        let is_root = role.is_root(now);
+        if is_root != (old != Role::Member) {
+            self.update_me(|me| {
+                me.root = is_root;
+                if is_root {
+                    me.parent = None;
+                }
+            });
+        }
+    }
+
+    pub(crate) fn set_upstream(&self, upstream: Option<Upstream>) {
+        let changed = std::mem::replace(&mut *lock(&self.upstream), upstream.clone()) != upstream;
+        if changed {
+            self.refresh_state();
+        }
+    }
+
+    /// Brings state, service and slots of the own record up to date.
+    pub(crate) fn refresh_state(&self) {
+        let upstream = lock(&self.upstream).clone();
+        let ready = *self.ready.borrow();
+        let closing = self.is_closing();
+        self.update_me(|me| {
+            me.state = match &upstream {
+                _ if closing => State::Draining,
+                _ if !ready => State::Starting,
+                Some((_, _, state)) => *state,
+                None => State::Ready,
+            };
+            me.service = upstream.as_ref().map(|(service, _, _)| service.clone());
+            me.slots = upstream.map(|(_, slots, _)| slots).unwrap_or_default();
+        });
+    }
+
+    /// Merges a record that came from `origin` and spreads it when it is news.
+    pub(crate) fn merge(&self, record: Record, age_s: u32, origin: Origin) -> Merge {
+        let now = Instant::now();
+        let id = record.id.clone();
+        let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        if id == self.place.id {
+            return self.refute(&mut table, &record, now);
+        }
+        let age = std::time::Duration::from_secs(age_s.into());
+        let merge = table.merge_aged(record, age, now);
+        drop(table);
+        self.news.publish(&id, origin, merge);
+        merge
+    }
+
+    /// Answers a record about this node that this process has not made.
+    fn refute(&self, table: &mut Table, seen: &Record, now: Instant) -> Merge {
+        let Some(mine) = table.get(&self.place.id) else {
+            return Merge::Old;
+        };
+        if seen.precedence(mine).is_le() {
+            return Merge::Old;
+        }
+        let answer = mine.refute(seen);
+        let merge = table.merge(answer, now);
+        self.news.publish(&self.place.id, Origin::Own, merge);
+        log::info!(node = self.place.id.as_str(), state = seen.state.as_str(); "own state refuted");
+        merge
+    }
+
+    /// Marks a node as `state` when its record is still `seen`.
+    pub(crate) fn mark(&self, seen: &Record, state: State, reason: &str) -> bool {
+        let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        let merge = table.mark(seen, state, Instant::now());
+        drop(table);
+        if !merge.is_news() {
+            return false;
+        }
+        self.news.publish(&seen.id, Origin::Own, merge);
+        log::warn!(
+            node = self.place.id.as_str(), peer = seen.id.as_str(), state = state.as_str(),
+            reason = reason; "member state changed"
+        );
+        true
+    }
+
+    /// Merges membership news; true when a change belongs to a record that is not held.
+    pub(crate) fn merge_news(&self, news: &Records, origin: Origin) -> bool {
+        for message in &news.records {
+            match Record::try_from(message) {
+                Ok(record) => {
+                    self.merge(record, message.gone_s, origin);
+                }
+                Err(error) => log::warn!(id = message.id, reason = error:%; "record refused"),
+            }
+        }
+        let mut missing = false;
+        for message in &news.changes {
+            match member::Change::try_from(message) {
+                Ok(change) => missing |= self.merge_change(&change, origin) == Merge::Missing,
+                Err(error) => log::warn!(id = message.id, reason = error:%; "change refused"),
+            }
+        }
+        missing
+    }
+
+    fn merge_change(&self, change: &member::Change, origin: Origin) -> Merge {
+        let now = Instant::now();
+        let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        if change.id == self.place.id {
+            let Some(mine) = table.get(&change.id) else {
+                return Merge::Missing;
+            };
+            let mut seen = mine.clone();
+            seen.incarnation = change.incarnation;
+            seen.sequence = change.sequence;
+            seen.state = change.state;
+            return self.refute(&mut table, &seen, now);
+        }
+        let merge = table.merge_change(change, now);
+        drop(table);
+        self.news.publish(&change.id, origin, merge);
+        merge
+    }
+
+    /// Drops the records of nodes that have been gone for long.
+    pub(crate) fn drop_gone(&self) -> usize {
+        let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        table.drop_gone(Instant::now())
+    }
+
+    /// Summaries of the subtree below this node, its own version included.
+    pub(crate) fn subtree(&self) -> Vec<DomainSummary> {
+        let version = self.version().get();
+        let own = [DomainSummary {
+            region: self.place.region.to_string(),
+            domain: self.place.domain.to_string(),
+            nodes: 1,
+            lowest: version,
+            highest: version,
+            current: 1,
+            lagging: Vec::new(),
+            convergence_ms: self.convergence_ms.load(Ordering::Relaxed),
+        }];
+        let children = self.children();
+        let below = children
+            .iter()
+            .map(|(id, child)| (id, child.summaries.as_slice()));
+        let own = std::iter::once((&self.place.id, own.as_slice()));
+        summary::sum(own.chain(below))
+    }
+
+    /// Summaries of the whole mesh at a root, of the subtree elsewhere.
+    pub(crate) fn summaries(&self) -> Vec<DomainSummary> {
+        let mut all = self.subtree();
+        let regions = self.regions();
+        all.extend(regions.values().flat_map(|region| region.summaries.clone()));
+        all
+    }
+
+    /// Heartbeat with the summaries, or without them when they are still `last`.
+    pub(crate) fn heartbeat(&self, last: &mut Vec<DomainSummary>) -> Heartbeat {
+        let summaries = self.subtree();
+        let changed = summaries != *last;
+        if changed {
+            last.clone_from(&summaries);
+        }
+        Heartbeat {
+            version: self.version().get(),
+            table: self.table().digest(),
+            summaries: if changed { summaries } else { Vec::new() },
+        }
+    }
+
+    /// Whether versions travel along the tree.
+    pub(crate) fn carries_versions(&self) -> bool {
+        self.config.source == Source::Tree
+    }
+}
--- /dev/null
+++ b/crates/spread/src/standby.rs
@@ -0,0 +1,194 @@
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use member::Record;
+use schema::control::{self, Hello, Welcome, message::Kind};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use types::{Version, id};
+
+use crate::admission::{Refusal, STANDBYS};
+use crate::dial::{Backoff, Dialled, dial};
+use crate::link::{Link, Lost};
+use crate::shared::{Attachment, Shared};
+use crate::{child, parent, placement};
+
+/// Time for which a standby may be ahead before the parent is taken to lag.
+const LAG_LIMIT: Duration = Duration::from_secs(2);
+
+/// Heartbeats between two checks of the choice of standby.
+const CHOICE_CHECK: u32 = 10;
+
+/// Keeps a link to a standby parent.
+pub(crate) async fn run(shared: Shared) {
+    let mut backoff = Backoff::default();
+    loop {
+        sleep(backoff.next(rand::random())).await;
+        wait_placed(&shared).await;
+        let Some((link, standby)) = open(&shared).await else {
+            continue;
+        };
+        backoff.reset();
+        log::info!(
+            node = shared.place.id.as_str(), standby = standby.as_str(),
+            reason = "first choice beside the parent"; "standby chosen"
+        );
+        let Err(lost) = follow(&shared, link, &standby).await else {
+            continue;
+        };
+        log::info!(
+            node = shared.place.id.as_str(), standby = standby.as_str(), reason = lost:%;
+            "standby link ended"
+        );
+        if lost == Lost::Stop {
+            return;
+        }
+    }
+}
+
+/// Waits until the node has a parent or is a root; before that it does not know its standby.
+async fn wait_placed(shared: &Shared) {
+    let mut attachment = shared.attachment.subscribe();
+    let mut role = shared.role.subscribe();
+    // The senders live as long as `shared`, so the waits cannot fail.
+    tokio::select! {
+        _ = attachment.wait_for(|attachment| matches!(attachment, Attachment::Attached(_))) => {}
+        _ = role.wait_for(|role| role.is_root(Instant::now())) => {}
+    }
+}
+
+fn choose(shared: &Shared) -> Option<Record> {
+    let table = shared.table();
+    let me = table.get(&shared.place.id)?;
+    let node = member::standby(&table, me, me.parent.as_ref(), shared.config.fanout)?;
+    table.get(&node).cloned()
+}
+
+async fn open(shared: &Shared) -> Option<(Box<Link>, id::Node)> {
+    let standby = choose(shared)?;
+    match dial(shared, standby.address, control::Link::Standby).await {
+        Dialled::Open(link, _) => Some((link, standby.id)),
+        Dialled::Busy(..) | Dialled::Failed => None,
+    }
+}
+
+/// Reports the held version and compares it with that of the standby, until the link is lost.
+async fn follow(shared: &Shared, mut link: Box<Link>, standby: &id::Node) -> Result<(), Lost> {
+    let mut bundles = shared.bundles.subscribe();
+    let mut beat = interval(shared.config.heartbeat);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut ahead_since = None;
+    let mut beats: u32 = 0;
+    link.send(Kind::Held(parent::held(shared))).await?;
+    loop {
+        tokio::select! {
+            kind = link.recv() => match kind? {
+                Kind::Heartbeat(heartbeat) => {
+                    let theirs = Version::new(heartbeat.version);
+                    report_lag(shared, theirs, &mut ahead_since, standby);
+                }
+                Kind::Bye(_) => return Err(Lost::Bye),
+                _ => return Err(Lost::Unexpected),
+            },
+            _ = beat.tick() => {
+                send_beat(shared, &link).await?;
+                beats += 1;
+                if beats.is_multiple_of(CHOICE_CHECK)
+                    && choose(shared).is_some_and(|choice| choice.id != *standby)
+                {
+                    return Err(Lost::Misplaced);
+                }
+            }
+            Ok(()) = bundles.changed() => link.send(Kind::Held(parent::held(shared))).await?,
+            () = shared.wait_closing() => return Err(Lost::Stop),
+        }
+    }
+}
+
+/// Asks the parent link to move when the standby has been ahead for [`LAG_LIMIT`].
+fn report_lag(shared: &Shared, theirs: Version, since: &mut Option<Instant>, standby: &id::Node) {
+    let now = Instant::now();
+    if !is_lagging(shared.version(), theirs, since, now) {
+        return;
+    }
+    *since = None;
+    if !has_other_parent(shared) {
+        return;
+    }
+    log::warn!(
+        node = shared.place.id.as_str(), standby = standby.as_str(),
+        version = shared.version().get(), ahead = theirs.get(),
+        reason = "standby ahead"; "parent lags"
+    );
+    shared.lagging.send_replace(false);
+    shared.lagging.send_replace(true);
+}
+
+/// Whether a standby at `theirs` has been ahead of `held` for [`LAG_LIMIT`]. `since` keeps the time
+/// at which it was first seen ahead.
+#[must_use]
+pub fn is_lagging(held: Version, theirs: Version, since: &mut Option<Instant>, now: Instant) -> bool {
+    if theirs <= held {
+        *since = None;
+        return false;
+    }
+    now.duration_since(*since.get_or_insert(now)) >= LAG_LIMIT
+}
+
+/// Whether another parent can be asked. A move without one would only interrupt the link.
+fn has_other_parent(shared: &Shared) -> bool {
+    let table = shared.table();
+    let Some(me) = table.get(&shared.place.id) else {
+        return false;
+    };
+    let others = placement::parents(&table, me, shared.config.fanout, me.parent.as_ref());
+    !others.is_empty()
+}
+
+async fn send_beat(shared: &Shared, link: &Link) -> Result<(), Lost> {
+    let heartbeat = control::Heartbeat {
+        version: shared.version().get(),
+        ..control::Heartbeat::default()
+    };
+    link.send(Kind::Heartbeat(heartbeat)).await
+}
+
+/// Serves a child that has chosen this node as its standby.
+pub(crate) async fn accept(shared: Shared, mut link: Link, hello: Hello, child: Record) {
+    let limit = shared.config.children * STANDBYS;
+    if shared.standbys.fetch_add(1, Ordering::Relaxed) >= limit || shared.is_closing() {
+        child::refuse(&shared, link, &child, Refusal::Full).await;
+    } else {
+        let held = Version::new(hello.version);
+        shared.witness().record(child.address, held, Instant::now());
+        // Nothing follows from the loss of a standby link; the child opens another one.
+        let _ = serve(&shared, &mut link, &child).await;
+        link.close().await;
+    }
+    shared.standbys.fetch_sub(1, Ordering::Relaxed);
+}
+
+async fn serve(shared: &Shared, link: &mut Link, child: &Record) -> Result<(), Lost> {
+    let welcome = Welcome {
+        record: shared.me().map(|me| me.to_message(0)),
+        version: shared.version().get(),
+        ..Welcome::default()
+    };
+    link.send(Kind::Welcome(welcome)).await?;
+    let mut beat = interval(shared.config.heartbeat);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            kind = link.recv() => match kind? {
+                Kind::Heartbeat(_) => {}
+                Kind::Held(held) => {
+                    let version = Version::new(held.version);
+                    shared.witness().record(child.address, version, Instant::now());
+                }
+                Kind::Bye(_) => return Ok(()),
+                _ => return Err(Lost::Unexpected),
+            },
+            _ = beat.tick() => send_beat(shared, link).await?,
+            () = shared.wait_closing() => return link.send(Kind::Bye(control::Bye {})).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/spread/src/witness.rs
@@ -0,0 +1,42 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use tokio::time::Instant;
+use types::Version;
+
+/// Addresses that a node remembers. A node hears of its children and standby children only.
+const LIMIT: usize = 4096;
+
+/// Versions that addresses have reported as held.
+#[derive(Debug, Default)]
+pub struct Witness {
+    held: HashMap<SocketAddr, (Version, Instant)>,
+}
+
+impl Witness {
+    /// Records a report. A lower version than before is that of a restarted node, which has no
+    /// state yet; it does not replace the higher one.
+    pub fn record(&mut self, address: SocketAddr, version: Version, now: Instant) {
+        if version == Version::NONE {
+            return;
+        }
+        if self.held.len() >= LIMIT && !self.held.contains_key(&address) {
+            self.drop_oldest();
+        }
+        let entry = self.held.entry(address).or_insert((version, now));
+        *entry = (entry.0.max(version), now);
+    }
+
+    /// Highest version that an address has reported.
+    #[must_use]
+    pub fn version(&self, address: &SocketAddr) -> Option<Version> {
+        self.held.get(address).map(|(version, _)| *version)
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self.held.iter().min_by_key(|(_, (_, seen))| *seen);
+        if let Some(address) = oldest.map(|(address, _)| *address) {
+            self.held.remove(&address);
+        }
+    }
+}
