Carry bodies on call streams as plain data frames

A body piece as a message was copied three times on each side: into the message, into its encoding and into the frame. A marked frame carries the piece as it is. Writes also use capacity that is already there, since poll_capacity wakes only on an increase.

--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -31,6 +31,9 @@
     /// A frame is larger than a message may be.
     #[error("frame of {0} bytes is over the limit")]
     Large(usize),
+    /// A frame holds plain data where a message was expected.
+    #[error("frame of {0} bytes of data in place of a message")]
+    Data(usize),
     /// A frame is not a message.
     #[error("{0}")]
     Codec(#[from] schema::codec::Error),
@@ -38,3 +41,17 @@
     #[error("stream is closed")]
     Closed,
 }
+
+impl Error {
+    /// Whether the error itself shows that no message of the stream reached the peer's application.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::Connect(_) | Self::ConnectDeadline | Self::Protocol { .. } | Self::Refused(_) => {
+                true
+            }
+            Self::Stream(error) => error.reason() == Some(h2::Reason::REFUSED_STREAM),
+            _ => false,
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -32,7 +32,7 @@
 
 pub use connection::Connection;
 pub use error::Error;
-pub use frame::Frame;
+pub use frame::{Frame, Part};
 pub use kind::Kind;
 pub use liveness::{PING_INTERVAL, PING_LIMIT};
 pub use receiver::Receiver;
--- a/crates/wire/src/receiver.rs
+++ b/crates/wire/src/receiver.rs
@@ -1,12 +1,12 @@
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes as Buffer, BytesMut};
 use h2::RecvStream;
 use h2::client::ResponseFuture;
 use http::{HeaderMap, StatusCode};
 use schema::codec;
 use types::size::Bytes;
 
-use crate::frame::PREFIX;
-use crate::{Error, Frame, PROTOCOL, PROTOCOL_HEADER};
+use crate::frame::{DATA, PREFIX};
+use crate::{Error, Frame, PROTOCOL, PROTOCOL_HEADER, Part};
 
 /// Receiving direction of a stream.
 pub struct Receiver {
@@ -50,6 +50,37 @@
     where
         M: bincode::Decode<()>,
     {
+        match self.next_frame().await? {
+            Some((true, body)) => Err(Error::Data(body.len())),
+            Some((false, body)) => {
+                let message = codec::decode(&body)?;
+                let size = Bytes::new((PREFIX + body.len()) as u64);
+                Ok(Some(Frame { message, size }))
+            }
+            None => Ok(None),
+        }
+    }
+
+    /// Receives the next message or piece of plain data; `None` after a proper end of the stream.
+    ///
+    /// The call may be dropped before it returns without loss of data.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Receiver::recv`].
+    pub async fn recv_part<M>(&mut self) -> Result<Option<Part<M>>, Error>
+    where
+        M: bincode::Decode<()>,
+    {
+        match self.next_frame().await? {
+            Some((true, body)) => Ok(Some(Part::Data(body))),
+            Some((false, body)) => Ok(Some(Part::Message(codec::decode(&body)?))),
+            None => Ok(None),
+        }
+    }
+
+    /// Waits for a whole frame; true with plain data.
+    async fn next_frame(&mut self) -> Result<Option<(bool, Buffer)>, Error> {
         loop {
             if let Some(frame) = self.take_frame()? {
                 return Ok(Some(frame));
@@ -64,15 +95,13 @@
         }
     }
 
-    /// Decodes the first frame of the buffer, when it is complete.
-    fn take_frame<M>(&mut self) -> Result<Option<Frame<M>>, Error>
-    where
-        M: bincode::Decode<()>,
-    {
+    /// Takes the first frame of the buffer, when it is complete.
+    fn take_frame(&mut self) -> Result<Option<(bool, Buffer)>, Error> {
         let Some(prefix) = self.buffer.first_chunk::<PREFIX>() else {
             return Ok(None);
         };
-        let length = u32::from_le_bytes(*prefix) as usize;
+        let prefix = u32::from_le_bytes(*prefix);
+        let length = (prefix & !DATA) as usize;
         if length > codec::MESSAGE_LIMIT {
             return Err(Error::Large(length));
         }
@@ -80,10 +109,8 @@
             return Ok(None);
         }
         self.buffer.advance(PREFIX);
-        let body = self.buffer.split_to(length);
-        let message = codec::decode(&body)?;
-        let size = Bytes::new((PREFIX + length) as u64);
-        Ok(Some(Frame { message, size }))
+        let body = self.buffer.split_to(length).freeze();
+        Ok(Some((prefix & DATA != 0, body)))
     }
 
     /// Adds data to the buffer; false at the proper end of the stream.
--- a/crates/wire/src/sender.rs
+++ b/crates/wire/src/sender.rs
@@ -6,7 +6,7 @@
 use types::size::Bytes;
 
 use crate::Error;
-use crate::frame::PREFIX;
+use crate::frame::{DATA, PREFIX};
 
 /// Sending direction of a stream.
 pub struct Sender {
@@ -43,6 +43,27 @@
         Ok(size)
     }
 
+    /// Sends plain data, which is neither encoded nor copied, and returns its size on the stream.
+    ///
+    /// Data over the limit of a frame is sent as several frames. As with [`Sender::send`], a call
+    /// that is dropped leaves the stream unusable.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Stream`] or [`Error::Closed`] when the stream has failed.
+    pub async fn send_data(&mut self, mut data: Buffer) -> Result<Bytes, Error> {
+        let mut size = 0;
+        while !data.is_empty() {
+            let part = data.split_to(data.len().min(codec::MESSAGE_LIMIT));
+            let length = u32::try_from(part.len()).map_err(|_| Error::Large(part.len()))?;
+            let prefix = Buffer::copy_from_slice(&(DATA | length).to_le_bytes());
+            size += PREFIX + part.len();
+            self.write(prefix).await?;
+            self.write(part).await?;
+        }
+        Ok(Bytes::new(size as u64))
+    }
+
     /// Ends the sending direction properly.
     ///
     /// # Errors
@@ -66,11 +87,21 @@
     async fn write(&mut self, mut data: Buffer) -> Result<(), Error> {
         while !data.is_empty() {
             self.stream.reserve_capacity(data.len());
-            let capacity = poll_fn(|context| self.stream.poll_capacity(context)).await;
-            let capacity = capacity.ok_or(Error::Closed)??;
+            let capacity = self.wait_capacity().await?;
             let part = data.split_to(capacity.min(data.len()));
             self.stream.send_data(part, false)?;
         }
         Ok(())
     }
+
+    /// Waits until some data may be sent; `poll_capacity` wakes only on an increase.
+    async fn wait_capacity(&mut self) -> Result<usize, Error> {
+        match self.stream.capacity() {
+            0 => {
+                let capacity = poll_fn(|context| self.stream.poll_capacity(context)).await;
+                Ok(capacity.ok_or(Error::Closed)??)
+            }
+            capacity => Ok(capacity),
+        }
+    }
 }
--- a/crates/wire/tests/contract.rs
+++ b/crates/wire/tests/contract.rs
@@ -6,27 +6,24 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes as Buffer;
 use proptest::prelude::*;
-use schema::call::{Chunk, Message, message::Kind as Content};
+use schema::bundle::Header as Message;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 use types::Deadline;
-use wire::{Connection, Error, Frame, Kind, PING_INTERVAL, PING_LIMIT, Stream};
+use wire::{Connection, Error, Frame, Kind, PING_INTERVAL, PING_LIMIT, Part, Stream};
 
 fn chunk(data: &[u8]) -> Message {
     Message {
-        kind: Some(Content::Chunk(Chunk {
-            data: data.to_vec(),
-        })),
+        value: data.to_vec(),
+        ..Message::default()
     }
 }
 
 fn data(frame: Frame<Message>) -> Vec<u8> {
-    match frame.message.kind {
-        Some(Content::Chunk(chunk)) => chunk.data,
-        other => panic!("not a chunk: {other:?}"),
-    }
+    frame.message.value
 }
 
 /// Sends every message back and ends the stream properly.
@@ -91,6 +88,39 @@
     }
 }
 
+/// Guards against plain data that is cut, reordered or taken for a message, at sizes over the window
+/// of a stream and the limit of a frame.
+#[tokio::test]
+async fn data_and_messages_arrive_whole_and_in_order() {
+    let (listener, address) = listen().await;
+    let body = Buffer::from_iter((0..5_000_000u32).map(|n| (n % 251) as u8));
+    let sent = body.clone();
+    tokio::spawn(async move {
+        let (socket, _) = listener.accept().await.unwrap();
+        let send = move |_, mut stream: Stream| {
+            let body = sent.clone();
+            async move {
+                stream.sender.send(&chunk(b"head")).await.unwrap();
+                stream.sender.send_data(body).await.unwrap();
+                stream.sender.send(&chunk(b"end")).await.unwrap();
+                stream.sender.finish().unwrap();
+            }
+        };
+        wire::serve(socket, send).await
+    });
+    let mut stream = connect(address).await.open(Kind::Call).await.unwrap();
+    let mut received = Vec::new();
+    let mut messages = Vec::new();
+    while let Some(part) = stream.receiver.recv_part::<Message>().await.unwrap() {
+        match part {
+            Part::Message(message) => messages.push(message.value),
+            Part::Data(data) => received.extend_from_slice(&data),
+        }
+    }
+    assert_eq!(messages, [b"head".to_vec(), b"end".to_vec()]);
+    assert!(received == body, "{} bytes differ", received.len());
+}
+
 /// Guards against a broken stream that looks like a proper end.
 #[tokio::test]
 async fn reset_is_an_error() {
