--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,99 @@
+use std::collections::HashSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use rocket::config::{Ident, LogLevel, Shutdown as ShutdownConfig};
+use rocket::fairing::AdHoc;
+use rocket::shield::Shield;
+use rocket::{Build, Config, Rocket, Shutdown};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+use crate::Relay;
+
+/// Longest time that the HTTP server itself waits for open answers after [`Front::close`], in
+/// seconds. The life cycle of the node sets the real limit.
+const GRACE_S: u32 = 3600;
+
+/// Reason why an HTTP port was not opened.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The HTTP server did not start.
+    #[error("HTTP server: {0}")]
+    Server(String),
+    /// The HTTP server ended before it listened.
+    #[error("HTTP server ended before it listened")]
+    Ended,
+}
+
+/// An HTTP port: a relay on the public address and an HTTP server behind it.
+pub struct Front {
+    relay: Arc<Relay>,
+    shutdown: Shutdown,
+}
+
+impl Front {
+    /// Serves `rocket` behind `listener` with at most `connections` open connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] when the HTTP server does not start.
+    pub async fn start(
+        listener: TcpListener,
+        relay: Arc<Relay>,
+        rocket: Rocket<Build>,
+        connections: usize,
+    ) -> Result<Self, Error> {
+        let (listening, port) = oneshot::channel();
+        let liftoff = AdHoc::on_liftoff("port", |rocket| {
+            // The receiver waits below until the port is sent or the server has failed.
+            let _ = listening.send(rocket.config().port);
+            Box::pin(async {})
+        });
+        let rocket = rocket.attach(liftoff).ignite().await;
+        let rocket = rocket.map_err(|error| Error::Server(error.to_string()))?;
+        let shutdown = rocket.shutdown();
+        tokio::spawn(async move {
+            if let Err(error) = rocket.launch().await {
+                log::error!(reason:% = error; "HTTP server ended");
+            }
+        });
+        let port = port.await.map_err(|_| Error::Ended)?;
+        let server = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        tokio::spawn(Arc::clone(&relay).accept(listener, server, connections));
+        Ok(Self { relay, shutdown })
+    }
+
+    /// Ends each connection after the answer that it carries, and waits for the last one.
+    pub async fn close(self) {
+        self.shutdown.notify();
+        self.relay.wait_empty().await;
+    }
+}
+
+/// HTTP server without routes, with the settings that both ports share.
+///
+/// It adds no headers of its own to answers, handles no signals and reads no settings from files
+/// or the environment.
+#[must_use]
+pub fn server() -> Rocket<Build> {
+    let config = Config {
+        address: Ipv4Addr::LOCALHOST.into(),
+        port: 0,
+        ident: Ident::none(),
+        ip_header: None,
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        shutdown: ShutdownConfig {
+            ctrlc: false,
+            signals: HashSet::new(),
+            grace: GRACE_S,
+            mercy: 1,
+            force: false,
+            ..ShutdownConfig::default()
+        },
+        ..Config::release_default()
+    };
+    rocket::custom(config).attach(Shield::new())
+}
