Add the store client and the stand-in store

Tests and the node need a key-value store with revisions, transactions, leases and watches. The gateway's messages are in gateway.proto; schemagen gives their JSON form. The stand-in is built on hyper, since its faults are at the level of connections (refused, hanging, silent), which rocket does not expose.

--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`bundle`]: values in the store, also carried between nodes.
 //! - [`control`] and [`call`]: messages of the streams between nodes.
 //! - [`settings`] and [`operator`]: sections of INI files, with a key table for each.
+//! - [`gateway`] and [`standin`]: JSON messages of the store's gateway and of the stand-ins.
 //! - [`codec`]: the binary form of messages.
 //!
 //! The types of this crate are used where data enters or leaves the process; the other crates
@@ -18,6 +19,7 @@
 //! ```
 
 pub mod codec;
+mod json;
 pub mod section;
 
 /// Values kept in the store and carried between nodes.
@@ -38,6 +40,12 @@
 #[rustfmt::skip]
 pub mod control;
 
+/// Messages of the etcd v3 HTTP/JSON gateway.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/gateway.rs"]
+#[rustfmt::skip]
+pub mod gateway;
+
 /// Sections of operator files.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
 #[path = "generated/operator.rs"]
@@ -49,3 +57,9 @@
 #[path = "generated/settings.rs"]
 #[rustfmt::skip]
 pub mod settings;
+
+/// Control messages of the stand-ins.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/standin.rs"]
+#[rustfmt::skip]
+pub mod standin;
--- a/crates/schemagen/src/main.rs
+++ b/crates/schemagen/src/main.rs
@@ -2,9 +2,10 @@
 //!
 //! `schemagen` compiles the `.proto` files of the `schema` crate with `protox`. Message files go
 //! through `prost-build`, which adds the `bincode` derives; settings files go through [`settings`],
-//! which writes a struct with a key table for each message. With `--check` nothing is written and
+//! which writes a struct with a key table for each message. Files of [`json`] get `serde` derives. With `--check` nothing is written and
 //! the exit code says whether the committed code is current.
 
+mod json;
 mod message;
 mod settings;
 
@@ -16,6 +17,8 @@
 
 /// Files whose messages travel or are stored.
 const MESSAGE_FILES: [&str; 3] = ["bundle.proto", "control.proto", "call.proto"];
+/// Files whose messages travel as JSON.
+const JSON_FILES: [&str; 2] = ["gateway.proto", "standin.proto"];
 /// Files whose messages are INI sections.
 const SETTINGS_FILES: [&str; 2] = ["settings.proto", "operator.proto"];
 
@@ -60,6 +63,10 @@
         let name = file.replace(".proto", ".rs");
         files.insert(name, settings::generate(&proto, file)?);
     }
+    for file in JSON_FILES {
+        let name = file.replace(".proto", ".rs");
+        files.insert(name, json::generate(&proto, file)?);
+    }
     place(&schema.join("src/generated"), &files, check)
 }
 
--- /dev/null
+++ b/crates/standin/src/store/fault.rs
@@ -0,0 +1,73 @@
+use std::time::Duration;
+
+use schema::standin::Faults;
+use tokio::time::Instant;
+
+use super::kind::Kind;
+
+/// Length of the window of the rate limits.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Calls counted in one window.
+#[derive(Default)]
+struct Window {
+    start: Option<Instant>,
+    calls: u32,
+}
+
+impl Window {
+    fn admit(&mut self, limit: u32, now: Instant) -> bool {
+        if self.start.is_none_or(|start| now >= start + WINDOW) {
+            self.start = Some(now);
+            self.calls = 0;
+        }
+        self.calls += 1;
+        limit == 0 || self.calls <= limit
+    }
+}
+
+/// Faults in force, with what is left of those that happen a number of times.
+#[derive(Default)]
+pub(crate) struct State {
+    faults: Faults,
+    reads: Window,
+    writes: Window,
+}
+
+impl State {
+    /// Replaces the faults.
+    pub(crate) fn set(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    /// The faults in force.
+    pub(crate) const fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Whether a call is within the rate limits.
+    pub(crate) fn admit(&mut self, kind: Kind, now: Instant) -> bool {
+        if kind.is_write() {
+            self.writes.admit(self.faults.writes_per_second, now)
+        } else {
+            self.reads.admit(self.faults.reads_per_second, now)
+        }
+    }
+
+    /// Whether the answer of this call is lost.
+    pub(crate) fn take_loss(&mut self, kind: Kind) -> bool {
+        let lost = kind.is_write() && self.faults.lose_answers > 0;
+        self.faults.lose_answers -= u32::from(lost);
+        lost
+    }
+
+    /// Number of events that a watch leaves out of `count`.
+    pub(crate) fn take_skips(&mut self, count: usize) -> usize {
+        let skipped = self
+            .faults
+            .skip_events
+            .min(u32::try_from(count).unwrap_or(u32::MAX));
+        self.faults.skip_events -= skipped;
+        skipped as usize
+    }
+}
