--- a/crates/bundle/tests/validation.rs
+++ b/crates/bundle/tests/validation.rs
@@ -94,6 +94,16 @@
                 "a.ini:7: route s.path: path `/a` with the same method is in route `r` of service `a` (a.ini) already",
             ],
         ),
+        (
+            "[route r]\npath = /a\nmethods = GET\n[route s]\npath = /a\n",
+            &[
+                "a.ini:8: route s.path: path `/a` with the same method is in route `r` of service `a` (a.ini) already",
+            ],
+        ),
+        (
+            "[route r]\npath = /a\nmethods = GET\n[route s]\npath = /a\nmethods = PUT\n",
+            &[],
+        ),
         (
             "[route r]\npath = /a\nservice = aa\n",
             &["a.ini:6: route r.service: service `aa` does not exist"],
