--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -1,7 +1,7 @@
 use gumdrop::Options;
 use types::{Version, id};
 
-/// Options before the command.
+/// Checks and publishes the configuration of a service mesh, and reports on its nodes.
 #[derive(Debug, Options)]
 pub struct Arguments {
     #[options(help = "print help")]
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -20,6 +20,9 @@
     /// The store or a node was not reachable.
     #[error("{0}")]
     Unreachable(String),
+    /// The store was not reachable, and the transaction was not run.
+    #[error("{0}; nothing was published")]
+    NotPublished(String),
     /// The content of the store cannot be used.
     #[error("store: {0}")]
     Damaged(String),
@@ -52,7 +55,7 @@
             Self::Findings(_) => 1,
             Self::Usage(_) => 2,
             Self::Conflict(_) | Self::Races(_) => 3,
-            Self::Unreachable(_) | Self::Damaged(_) => 4,
+            Self::Unreachable(_) | Self::NotPublished(_) | Self::Damaged(_) => 4,
             Self::Unknown { .. } => 5,
             Self::NotInForce { .. } => 6,
         }
@@ -65,7 +68,7 @@
             Self::Findings(_) => "findings",
             Self::Usage(_) => "usage",
             Self::Conflict(_) | Self::Races(_) => "conflict",
-            Self::Unreachable(_) => "unreachable",
+            Self::Unreachable(_) | Self::NotPublished(_) => "unreachable",
             Self::Damaged(_) => "damaged",
             Self::Unknown { .. } => "unknown",
             Self::NotInForce { .. } => "not-in-force",
--- a/crates/cli/src/publisher.rs
+++ b/crates/cli/src/publisher.rs
@@ -50,7 +50,7 @@
     /// # Errors
     ///
     /// Returns [`Failure::Findings`], [`Failure::Conflict`], [`Failure::Races`], [`Failure::Usage`] for
-    /// a base that is not kept, [`Failure::Damaged`] and [`Failure::Unreachable`] when nothing was
+    /// a base that is not kept, [`Failure::Damaged`] and [`Failure::NotPublished`] when nothing was
     /// published, and [`Failure::Unknown`] when that is not known.
     pub async fn publish(
         &mut self,
@@ -58,6 +58,15 @@
         deadline: Deadline,
     ) -> Result<Published, Failure> {
         check_order(order)?;
+        self.run(order, deadline)
+            .await
+            .map_err(|failure| match failure {
+                Failure::Unreachable(reason) => Failure::NotPublished(reason),
+                failure => failure,
+            })
+    }
+
+    async fn run(&mut self, order: &Order, deadline: Deadline) -> Result<Published, Failure> {
         let publication = new_publication()?;
         let mut change = Change::new(publication, &self.name, Timestamp::now())
             .with_services(order.folder.services())
--- a/crates/cli/src/swap.rs
+++ b/crates/cli/src/swap.rs
@@ -60,7 +60,7 @@
                     reason,
                 }
             } else {
-                Failure::Unreachable(format!("{reason}; nothing was published"))
+                Failure::Unreachable(reason)
             }
         };
         if may_be_done {
