Add the stand-in upstream

Tests and the demo need an upstream that drains, starts cold, sheds load, breaks off answers and keeps a log of its runs. Its messages are in upstream.proto (shared with the node) and standin.proto.

--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -3,7 +3,8 @@
 //! - [`bundle`]: values in the store, also carried between nodes.
 //! - [`control`] and [`call`]: messages of the streams between nodes.
 //! - [`settings`] and [`operator`]: sections of INI files, with a key table for each.
-//! - [`gateway`] and [`standin`]: JSON messages of the store's gateway and of the stand-ins.
+//! - [`gateway`], [`upstream`] and [`standin`]: JSON messages of the store's gateway, of upstreams and
+//!   of the stand-ins.
 //! - [`codec`]: the binary form of messages.
 //!
 //! The types of this crate are used where data enters or leaves the process; the other crates
@@ -63,3 +64,9 @@
 #[path = "generated/standin.rs"]
 #[rustfmt::skip]
 pub mod standin;
+
+/// Messages of an upstream to the node beside it.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/upstream.rs"]
+#[rustfmt::skip]
+pub mod upstream;
--- a/crates/schemagen/src/main.rs
+++ b/crates/schemagen/src/main.rs
@@ -18,7 +18,7 @@
 /// Files whose messages travel or are stored.
 const MESSAGE_FILES: [&str; 3] = ["bundle.proto", "control.proto", "call.proto"];
 /// Files whose messages travel as JSON.
-const JSON_FILES: [&str; 2] = ["gateway.proto", "standin.proto"];
+const JSON_FILES: [&str; 3] = ["gateway.proto", "standin.proto", "upstream.proto"];
 /// Files whose messages are INI sections.
 const SETTINGS_FILES: [&str; 2] = ["settings.proto", "operator.proto"];
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,13 +3,17 @@
 mod reply;
 mod server;
 pub mod store;
+pub mod upstream;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// Loopback address with a free port.
 pub const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-pub use schema::standin::{Counters, Faults, Outage};
+pub use schema::standin::{
+    Behaviour, Counters, Faults, HealthMode, Log, LogEntry, Outage, Progress, ServiceTime,
+    UpstreamSettings,
+};
 
 /// Waits for SIGTERM or SIGINT.
 ///
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -99,6 +99,25 @@
     }
 }
 
+/// Limits of a server.
+#[derive(Clone, Copy)]
+pub(crate) struct Limits {
+    /// Open connections; further ones are closed at once.
+    pub(crate) connections: usize,
+    /// Time that a new connection waits before its first request.
+    pub(crate) accept_delay: Duration,
+}
+
+impl Default for Limits {
+    /// Hardly any limit; it only bounds the file descriptors of a test.
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            accept_delay: Duration::ZERO,
+        }
+    }
+}
+
 /// Running server. Dropping it stops it.
 pub(crate) struct Server {
     address: SocketAddr,
@@ -107,21 +126,16 @@
 }
 
 impl Server {
-    /// Listens on `address` and answers each request with `handle`.
+    /// Listens on `address` and answers each request with the handler that `make` returns.
     ///
     /// # Errors
     ///
     /// Returns the error of the socket when the address cannot be listened on.
-    pub(crate) async fn start<H, F>(address: SocketAddr, handle: H) -> io::Result<Self>
-    where
-        H: Fn(Connection, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Result<Response<Body>, Cut>> + Send + 'static,
-    {
-        Self::start_with(address, |_| handle).await
-    }
-
-    /// Like [`Server::start`], with a handler that is made from the server's gate.
-    pub(crate) async fn start_with<M, H, F>(address: SocketAddr, make: M) -> io::Result<Self>
+    pub(crate) async fn start<M, H, F>(
+        address: SocketAddr,
+        limits: Limits,
+        make: M,
+    ) -> io::Result<Self>
     where
         M: FnOnce(Arc<Gate>) -> H,
         H: Fn(Connection, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
@@ -131,7 +145,7 @@
         let address = listener.local_addr()?;
         let gate = Arc::new(Gate::new());
         let handle = make(Arc::clone(&gate));
-        let task = tokio::spawn(run(listener, address, Arc::clone(&gate), handle));
+        let task = tokio::spawn(run(listener, limits, Arc::clone(&gate), handle));
         Ok(Self {
             address,
             gate,
@@ -150,7 +164,7 @@
     }
 
     /// Stops listening and closes the open connections.
-    pub(crate) async fn close(mut self) {
+    pub(crate) async fn stop(&mut self) {
         self.gate.phase.send_replace(Phase::Closed);
         // An error means that the task has ended, which is what is waited for.
         let _ = (&mut self.task).await;
@@ -164,14 +178,17 @@
 }
 
 /// Listens until the gate is closed.
-async fn run<H, F>(mut listener: TcpListener, address: SocketAddr, gate: Arc<Gate>, handle: H)
+async fn run<H, F>(mut listener: TcpListener, limits: Limits, gate: Arc<Gate>, handle: H)
 where
     H: Fn(Connection, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<Response<Body>, Cut>> + Send + 'static,
 {
     let mut phase = gate.phase.subscribe();
     loop {
-        accept(&listener, &gate, &handle).await;
+        accept(&listener, limits, &gate, &handle).await;
+        let Ok(address) = listener.local_addr() else {
+            return;
+        };
         drop(listener);
         if !wait_reopened(&mut phase).await {
             return;
@@ -196,7 +213,7 @@
 }
 
 /// Accepts connections while the gate is open, then closes them all.
-async fn accept<H, F>(listener: &TcpListener, gate: &Arc<Gate>, handle: &H)
+async fn accept<H, F>(listener: &TcpListener, limits: Limits, gate: &Arc<Gate>, handle: &H)
 where
     H: Fn(Connection, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<Response<Body>, Cut>> + Send + 'static,
@@ -207,11 +224,13 @@
         tokio::select! {
             () = wait_interrupted(&mut phase) => break,
             accepted = listener.accept() => match accepted {
-                Ok((socket, _)) => {
+                Ok((socket, _)) if connections.len() < limits.connections => {
                     let number = gate.next_connection.fetch_add(1, Ordering::SeqCst);
                     let connection = Connection { number, gate: Arc::clone(gate) };
-                    connections.spawn(serve(socket, connection, handle.clone()));
+                    let handle = handle.clone();
+                    connections.spawn(serve(socket, limits.accept_delay, connection, handle));
                 }
+                Ok(_) => {}
                 Err(_) => sleep(ACCEPT_WAIT).await,
             },
             Some(_) = connections.join_next() => {}
@@ -221,7 +240,7 @@
 }
 
 /// Runs one connection until it ends.
-async fn serve<H, F>(socket: TcpStream, connection: Connection, handle: H)
+async fn serve<H, F>(socket: TcpStream, delay: Duration, connection: Connection, handle: H)
 where
     H: Fn(Connection, Request<Incoming>) -> F,
     F: Future<Output = Result<Response<Body>, Cut>>,
@@ -229,6 +248,9 @@
     if socket.set_nodelay(true).is_err() {
         return;
     }
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
     let service = service_fn(|request| {
         let answer = handle(connection.clone(), request);
         let connection = connection.clone();
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
 
-use crate::server::{Gate, Server};
+use crate::server::{Gate, Limits, Server};
 
 use data::Data;
 
@@ -108,7 +108,7 @@
     pub async fn start(listen: SocketAddr, control: SocketAddr) -> io::Result<Self> {
         let shared = Arc::new(Shared::new());
         let state = Arc::clone(&shared);
-        let server = Server::start_with(listen, |gate| {
+        let server = Server::start(listen, Limits::default(), |gate| {
             move |connection, request| {
                 gateway::answer(Arc::clone(&state), Arc::clone(&gate), connection, request)
             }
@@ -116,8 +116,8 @@
         .await?;
         let state = Arc::clone(&shared);
         let gate = Arc::clone(server.gate());
-        let control = Server::start(control, move |_, request| {
-            gateway::control(Arc::clone(&state), Arc::clone(&gate), request)
+        let control = Server::start(control, Limits::default(), |_| {
+            move |_, request| gateway::control(Arc::clone(&state), Arc::clone(&gate), request)
         })
         .await?;
         let leases = tokio::spawn(run_leases(Arc::clone(&shared)));
@@ -168,10 +168,15 @@
     }
 
     /// Stops the store; its content is lost.
-    pub async fn close(self) {
+    pub async fn close(mut self) {
+        self.server.stop().await;
+        self.control.stop().await;
+    }
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
         self.leases.abort();
-        self.server.close().await;
-        self.control.close().await;
     }
 }
 
