Add the caller side, the target side and the upstream client

Cause: the call crate had its public types only. Change: choice, exchange over call streams, admission gate, at-most-once records, upstream client; route gets routes and the trust in an upstream.

--- a/crates/call/src/accounts.rs
+++ b/crates/call/src/accounts.rs
@@ -41,6 +41,8 @@
     pub ran: u64,
     /// Failed calls that may have run.
     pub unknown: u64,
+    /// Calls that the caller gave up before their end.
+    pub cancelled: u64,
     /// Failures by fault of the caller.
     pub caller: u64,
     /// Failures by fault of a service.
@@ -76,6 +78,14 @@
         });
     }
 
+    /// Counts a call that the caller gave up.
+    pub fn cancelled(&self, owner: &id::Owner) {
+        with_account(&mut self.lock(), owner, |account| {
+            account.counters.calls += 1;
+            account.counters.cancelled += 1;
+        });
+    }
+
     /// Records a failed call.
     pub fn record(&self, owner: &id::Owner, entry: Entry) {
         with_account(&mut self.lock(), owner, |account| {
--- a/crates/call/src/announcement.rs
+++ b/crates/call/src/announcement.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use route::Stage;
 use types::{id, size};
 
 /// What an upstream says about itself to the node beside it, every second.
@@ -15,23 +15,11 @@
     /// Connections that it accepts.
     pub connections: size::Connections,
     /// State that it is in.
-    pub state: State,
+    pub state: Stage,
     /// Path of its health endpoint.
     pub health: String,
 }
 
-/// State that an upstream announces.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum State {
-    /// It does not take calls yet.
-    Starting,
-    /// It takes calls.
-    Ready,
-    /// It finishes what runs and takes no new calls.
-    Draining,
-}
-
 impl Announcement {
     /// Creates the announcement of a ready upstream whose health endpoint is `/health`.
     #[must_use]
@@ -46,14 +34,14 @@
             address,
             slots,
             connections,
-            state: State::Ready,
+            state: Stage::Ready,
             health: "/health".to_owned(),
         }
     }
 
     /// Sets the state.
     #[must_use]
-    pub const fn with_state(mut self, state: State) -> Self {
+    pub const fn with_state(mut self, state: Stage) -> Self {
         self.state = state;
         self
     }
--- /dev/null
+++ b/crates/call/src/caller.rs
@@ -0,0 +1,303 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::time::Duration;
+
+use http::StatusCode;
+use route::{Budget, Choice, NoRoute, Place, Plan, Routes};
+use tokio::time::{Instant, sleep, timeout_at};
+use types::{Deadline, Outcome, id};
+
+use crate::exchange::exchange;
+use crate::held::Held;
+use crate::in_flight::{InFlight, Targets};
+use crate::job::Job;
+use crate::ledger::Ledger;
+use crate::pool::Pool;
+use crate::reply::Reply;
+use crate::{Accounts, Answer, Failure, Mesh, Request, Target};
+
+/// Longest time between two looks for idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Caller side of the call path. Clones share one state.
+#[derive(Clone)]
+pub struct Caller(Arc<Shared>);
+
+struct Shared {
+    place: Place,
+    mesh: Mesh,
+    target: Target,
+    accounts: Arc<Accounts>,
+    pool: Pool,
+    targets: Targets,
+    budgets: Mutex<HashMap<id::Service, Budget>>,
+}
+
+impl Caller {
+    /// Creates the caller side of the node at `place`, whose own upstream is behind `target`.
+    /// Connections to other nodes are closed when unused for `idle_limit`.
+    ///
+    /// Must be called in a runtime, since a task that closes idle connections is started.
+    #[must_use]
+    pub fn new(
+        place: Place,
+        mesh: Mesh,
+        target: Target,
+        accounts: Arc<Accounts>,
+        idle_limit: Duration,
+    ) -> Self {
+        let shared = Arc::new(Shared {
+            place,
+            mesh,
+            target,
+            accounts,
+            pool: Pool::new(idle_limit),
+            targets: Targets::default(),
+            budgets: Mutex::default(),
+        });
+        tokio::spawn(sweep(
+            Arc::downgrade(&shared),
+            idle_limit.min(SWEEP_INTERVAL),
+        ));
+        Self(shared)
+    }
+
+    /// Sends a call through the mesh. Every failure is an answer as well, with its outcome, fault and
+    /// reason. Dropping the future, the answer or its body cancels the call.
+    pub async fn call(&self, request: Request) -> Answer {
+        let routes = self.0.mesh.routes();
+        let mut ledger = Ledger::new(
+            Arc::clone(&self.0.accounts),
+            request.id.clone(),
+            request.owner.clone(),
+            routes.version(),
+        );
+        match self.0.run(&routes, request, &mut ledger).await {
+            Ok((reply, in_flight)) => ledger.answer(reply, in_flight),
+            Err(failure) => ledger.fail(failure),
+        }
+    }
+
+    /// Connections to other nodes.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.0.pool.len()
+    }
+}
+
+impl Shared {
+    async fn run(
+        &self,
+        routes: &Routes,
+        request: Request,
+        ledger: &mut Ledger,
+    ) -> Result<(Reply, InFlight), Failure> {
+        if !self.mesh.is_ready() {
+            return Err(Failure::mesh("starting"));
+        }
+        let plan = find(routes, &request)?;
+        let owner = ledger.set_plan(&plan);
+        let (job, held) = prepare(routes, &plan, owner, request).await?;
+        self.try_targets(&plan, &job, &held).await
+    }
+
+    /// Sends the call to one target after another, within the attempts, the budget and the deadline.
+    async fn try_targets(
+        &self,
+        plan: &Plan,
+        job: &Job,
+        held: &Held,
+    ) -> Result<(Reply, InFlight), Failure> {
+        let candidates = self.mesh.targets(&plan.service);
+        let mut tried = Vec::new();
+        let mut failure = None;
+        self.earn_retries(plan);
+        while tried.len() < plan.attempts as usize {
+            let choice = self.targets.lock().choose(
+                &candidates,
+                plan.scope,
+                &self.place,
+                &tried,
+                Instant::now(),
+                &mut rand::rng(),
+            );
+            let Some(choice) = choice else { break };
+            if let Some(last) = &failure
+                && !(may_repeat(last, job, held) && self.try_retry(plan))
+            {
+                break;
+            }
+            tried.push(choice.candidate.node.clone());
+            log_choice(&choice, job, tried.len());
+            match self.attempt(&choice, job, held).await {
+                Ok(answer) => return Ok(answer),
+                Err(next) => failure = Some(combine(failure, next)),
+            }
+        }
+        Err(failure.unwrap_or_else(|| Failure::mesh("no target within reach")))
+    }
+
+    /// Sends the call to one target and notes what this shows about it.
+    async fn attempt(
+        &self,
+        choice: &Choice,
+        job: &Job,
+        held: &Held,
+    ) -> Result<(Reply, InFlight), Failure> {
+        let node = &choice.candidate.node;
+        let in_flight = self.targets.start(node);
+        let result = if *node == self.place.node {
+            self.target.run(job.clone(), held.clone()).await
+        } else {
+            match self.pool.get(choice.candidate.address, job.deadline).await {
+                Ok(connection) => exchange(&connection, job, held).await,
+                Err(error) => Err(Failure::mesh(format!(
+                    "link failed before hand-over: {error}"
+                ))),
+            }
+        };
+        self.observe(node, &result);
+        result.map(|reply| (reply, in_flight))
+    }
+
+    fn observe(&self, node: &id::Node, result: &Result<Reply, Failure>) {
+        let now = Instant::now();
+        let mut picture = self.targets.lock();
+        let load = match result {
+            Ok(reply) => reply.load,
+            Err(failure) => failure.load,
+        };
+        if let Some(load) = load {
+            picture.report(node, load, now);
+        }
+        match result {
+            Ok(_) => picture.succeeded(node, now),
+            Err(failure) if shows_broken(failure) => picture.failed(node, now),
+            Err(_) => {}
+        }
+    }
+
+    fn earn_retries(&self, plan: &Plan) {
+        self.with_budget(plan, |budget| budget.call(plan.budget));
+    }
+
+    fn try_retry(&self, plan: &Plan) -> bool {
+        self.with_budget(plan, |budget| budget.try_retry(plan.budget))
+    }
+
+    fn with_budget<F, T>(&self, plan: &Plan, change: F) -> T
+    where
+        F: FnOnce(&mut Budget) -> T,
+    {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        change(budgets.entry(plan.service.clone()).or_default())
+    }
+}
+
+fn find(routes: &Routes, request: &Request) -> Result<Arc<Plan>, Failure> {
+    let path = request.target.split('?').next().unwrap_or_default();
+    if !route::is_plain_path(path) {
+        let reason = "path is not absolute or has dot segments";
+        return Err(Failure::caller(StatusCode::BAD_REQUEST, reason));
+    }
+    routes
+        .find(request.method.as_str(), path)
+        .map_err(|error| match error {
+            NoRoute::Path => Failure::caller(StatusCode::NOT_FOUND, "no route for the path"),
+            NoRoute::Method => Failure::caller(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "no route for the method on this path",
+            ),
+        })
+}
+
+/// Sets the deadline and reads the first part of the body.
+async fn prepare(
+    routes: &Routes,
+    plan: &Plan,
+    owner: id::Owner,
+    request: Request,
+) -> Result<(Job, Held), Failure> {
+    let longest = Deadline::after(plan.deadline);
+    let deadline = request.deadline.map_or(longest, |set| set.min(longest));
+    if deadline.has_passed(Instant::now()) {
+        let reason = "no time left on arrival";
+        return Err(Failure::caller(StatusCode::GATEWAY_TIMEOUT, reason));
+    }
+    let reading = timeout_at(deadline.instant(), Held::read(request.body)).await;
+    let held = match reading {
+        Ok(held) => held.map_err(|error| {
+            let reason = format!("request body broke off: {error}");
+            Failure::caller(StatusCode::BAD_REQUEST, reason)
+        })?,
+        Err(_) => {
+            let reason = "request body did not arrive by the deadline";
+            return Err(Failure::caller(StatusCode::REQUEST_TIMEOUT, reason));
+        }
+    };
+    let job = Job {
+        request: request.id,
+        owner,
+        service: plan.service.clone(),
+        route: plan.route.clone(),
+        method: request.method,
+        target: request.target,
+        headers: request.headers,
+        deadline,
+        repeatable: plan.repeatable,
+        key: request.idempotency_key,
+        version: routes.version(),
+    };
+    Ok((job, held))
+}
+
+/// Whether a call may be sent again after a failure.
+fn may_repeat(failure: &Failure, job: &Job, held: &Held) -> bool {
+    let safe = match failure.outcome {
+        Outcome::NotRun => true,
+        Outcome::Unknown => job.repeatable,
+        Outcome::Ran => false,
+    };
+    safe && failure.fault != types::Fault::Caller
+        && held.is_complete()
+        && !job.deadline.has_passed(Instant::now())
+}
+
+/// Failure of all attempts so far. An attempt that may have run is never hidden by a later one that
+/// did not.
+fn combine(earlier: Option<Failure>, later: Failure) -> Failure {
+    match earlier {
+        Some(earlier)
+            if earlier.outcome == Outcome::Unknown && later.outcome == Outcome::NotRun =>
+        {
+            earlier
+        }
+        _ => later,
+    }
+}
+
+/// Whether a failure shows that the target or the way to it is broken. A target that refuses a call
+/// because of its load reports that load, which steers further calls.
+fn shows_broken(failure: &Failure) -> bool {
+    let overloaded = failure.outcome == Outcome::NotRun && failure.load.is_some();
+    failure.fault != types::Fault::Caller && failure.outcome != Outcome::Ran && !overloaded
+}
+
+fn log_choice(choice: &Choice, job: &Job, attempt: usize) {
+    log::info!(
+        request:% = job.request, owner:% = job.owner, service:% = job.service,
+        route:% = job.route, target:% = choice.candidate.node, tier = choice.tier.name(),
+        version:% = job.version, attempt, reason = choice.reason; "call routed"
+    );
+}
+
+/// Closes idle connections until the caller side is dropped.
+async fn sweep(shared: Weak<Shared>, interval: Duration) {
+    loop {
+        sleep(interval).await;
+        match shared.upgrade() {
+            Some(shared) => shared.pool.sweep(Instant::now()),
+            None => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/call/src/in_flight.rs
@@ -0,0 +1,36 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use route::Picture;
+use tokio::time::Instant;
+use types::id;
+
+/// What this node knows about targets, shared by its calls.
+#[derive(Clone, Default)]
+pub(crate) struct Targets(Arc<Mutex<Picture>>);
+
+/// Call in flight at a target; dropping it ends the count.
+pub(crate) struct InFlight {
+    targets: Targets,
+    node: id::Node,
+}
+
+impl Targets {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Picture> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a call to `node` until the result is dropped.
+    pub(crate) fn start(&self, node: &id::Node) -> InFlight {
+        self.lock().started(node, Instant::now());
+        InFlight {
+            targets: self.clone(),
+            node: node.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.targets.lock().ended(&self.node, Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/call/src/job.rs
@@ -0,0 +1,65 @@
+use std::time::Duration;
+
+use http::{HeaderMap, Method};
+use schema::call::CallHead;
+use tokio::time::Instant;
+use types::{Deadline, Version, id};
+
+use crate::message;
+
+/// Call as the node beside the upstream sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) request: id::Request,
+    pub(crate) owner: id::Owner,
+    pub(crate) service: id::Service,
+    pub(crate) route: id::Route,
+    pub(crate) method: Method,
+    pub(crate) target: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) deadline: Deadline,
+    pub(crate) repeatable: bool,
+    pub(crate) key: Option<String>,
+    pub(crate) version: Version,
+}
+
+impl Job {
+    /// Message for the target's node, with the time that is left at `now` less `margin`.
+    pub(crate) fn to_head(&self, margin: Duration, now: Instant) -> CallHead {
+        let remaining = self.deadline.remaining(now).saturating_sub(margin);
+        CallHead {
+            request_id: self.request.to_string(),
+            owner: self.owner.to_string(),
+            service: self.service.to_string(),
+            route: self.route.to_string(),
+            method: self.method.to_string(),
+            target: self.target.clone(),
+            headers: message::headers(&self.headers),
+            remaining_us: u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX),
+            repeatable: self.repeatable,
+            idempotency_key: self.key.clone().unwrap_or_default(),
+            version: self.version.get(),
+        }
+    }
+
+    /// Reads the message of a caller's node; the time left is counted from `now`.
+    pub(crate) fn from_head(head: CallHead, now: Instant) -> Result<Self, message::Invalid> {
+        let remaining = Duration::from_micros(head.remaining_us).min(DEADLINE_LIMIT);
+        Ok(Self {
+            request: head.request_id.parse()?,
+            owner: head.owner.parse()?,
+            service: head.service.parse()?,
+            route: head.route.parse()?,
+            method: Method::from_bytes(head.method.as_bytes())?,
+            target: head.target,
+            headers: message::header_map(head.headers)?,
+            deadline: Deadline::new(now + remaining),
+            repeatable: head.repeatable,
+            key: (!head.idempotency_key.is_empty()).then_some(head.idempotency_key),
+            version: Version::new(head.version),
+        })
+    }
+}
+
+/// Longest time that a call from another node may ask for. It bounds what a damaged head holds.
+const DEADLINE_LIMIT: Duration = Duration::from_secs(24 * 60 * 60);
--- /dev/null
+++ b/crates/call/src/local.rs
@@ -0,0 +1,130 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use route::{Presence, Stage, Verdict};
+use tokio::time::Instant;
+use types::{Deadline, id};
+
+use crate::gate::Gate;
+use crate::upstream::Upstream;
+use crate::{Announcement, Failure};
+
+/// Time between two probes, and longest time for one.
+pub(crate) const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Upstream beside this node: its announcement, the trust in it, its slots and its connections.
+pub(crate) struct Local {
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) upstream: Upstream,
+    state: Mutex<State>,
+}
+
+struct State {
+    announcement: Announcement,
+    presence: Presence,
+}
+
+impl Local {
+    pub(crate) fn new(announcement: Announcement, gate: Gate, upstream: Upstream) -> Self {
+        Self {
+            gate: Arc::new(gate),
+            upstream,
+            state: Mutex::new(State {
+                presence: Presence::new(announcement.state, Instant::now()),
+                announcement,
+            }),
+        }
+    }
+
+    /// Whether an announcement comes from this upstream with the same sizes, so that its connections
+    /// and slots can be kept.
+    pub(crate) fn is_same(&self, new: &Announcement) -> bool {
+        let old = &self.lock().announcement;
+        old.service == new.service
+            && old.address == new.address
+            && old.slots == new.slots
+            && old.connections == new.connections
+    }
+
+    /// Whether this upstream runs `service`.
+    pub(crate) fn serves(&self, service: &id::Service) -> bool {
+        self.lock().announcement.service == *service
+    }
+
+    /// Renews the announcement. `draining` says that the node itself takes no new calls.
+    pub(crate) fn announce(&self, announcement: Announcement, draining: bool) {
+        let draining = draining || announcement.state == Stage::Draining;
+        self.gate
+            .update(|admission| admission.set_draining(draining));
+        let mut state = self.lock();
+        state
+            .presence
+            .announce(announcement.state, Instant::now());
+        state.announcement = announcement;
+    }
+
+    /// Changes the trust in the upstream and passes the result on to its slots.
+    pub(crate) fn observe<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Presence),
+    {
+        let (before, after) = {
+            let mut state = self.lock();
+            let now = Instant::now();
+            let before = state.presence.verdict(now);
+            change(&mut state.presence);
+            (before, state.presence.verdict(now))
+        };
+        if before != after {
+            let doubted = after == Verdict::Doubted;
+            self.gate.update(|admission| admission.set_doubted(doubted));
+            log::info!(verdict:? = after; "trust in the upstream changed");
+        }
+    }
+
+    pub(crate) fn verdict(&self) -> Verdict {
+        self.lock().presence.verdict(Instant::now())
+    }
+
+    /// When the announcement lapses.
+    pub(crate) fn expiry(&self) -> Deadline {
+        Deadline::new(self.lock().presence.expiry())
+    }
+
+    /// The announcement, as callers' nodes should see it; `None` when the upstream is absent.
+    pub(crate) fn announcement(&self) -> Option<Announcement> {
+        let state = self.lock();
+        let present = state.presence.verdict(Instant::now()) != Verdict::Absent;
+        present.then(|| state.announcement.clone())
+    }
+
+    /// Checks that the upstream may get a call now.
+    ///
+    /// # Errors
+    ///
+    /// Returns a `not-run` failure with the fault of the service.
+    pub(crate) fn check(&self) -> Result<(), Failure> {
+        let reason = match self.verdict() {
+            Verdict::Ready | Verdict::Doubted => return Ok(()),
+            Verdict::Absent => "upstream is gone",
+            Verdict::Starting => "upstream is starting",
+            Verdict::Draining => "upstream is draining",
+        };
+        let service = self.lock().announcement.service.clone();
+        Err(Failure::service(&service, reason))
+    }
+
+    /// Probes the health endpoint once; the announcement may lapse first.
+    pub(crate) async fn probe(&self) {
+        let path = self.lock().announcement.health.clone();
+        let deadline = Deadline::after(PROBE_INTERVAL).min(self.expiry());
+        let result = self.upstream.probe(&path, deadline).await;
+        if !self.expiry().has_passed(Instant::now()) {
+            self.observe(|presence| presence.probe(result, Instant::now()));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/call/src/pool.rs
@@ -0,0 +1,80 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::OnceCell;
+use tokio::time::Instant;
+use types::Deadline;
+use wire::{Connection, Error};
+
+/// Longest time to connect to a node. A path that swallows packets is then noticed well before the
+/// 2 s after which a silent connection fails, and the call can go elsewhere.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Connections to other nodes, one for each node; all calls to a node share it.
+pub(crate) struct Pool {
+    idle_limit: Duration,
+    entries: Mutex<HashMap<SocketAddr, Entry>>,
+}
+
+struct Entry {
+    connection: Arc<OnceCell<Connection>>,
+    last_used: Instant,
+}
+
+impl Pool {
+    /// Creates a pool whose connections are closed when unused for `idle_limit`.
+    pub(crate) fn new(idle_limit: Duration) -> Self {
+        Self {
+            idle_limit,
+            entries: Mutex::default(),
+        }
+    }
+
+    /// Connection to a node. Calls that need one at the same time wait for the same attempt.
+    pub(crate) async fn get(
+        &self,
+        peer: SocketAddr,
+        deadline: Deadline,
+    ) -> Result<Connection, Error> {
+        let cell = self.cell(peer, Instant::now());
+        let deadline = deadline.min(Deadline::after(CONNECT_LIMIT));
+        let dial = cell.get_or_try_init(|| Connection::connect(peer, deadline));
+        tokio::time::timeout_at(deadline.instant(), dial)
+            .await
+            .map_err(|_| Error::ConnectDeadline)?
+            .cloned()
+    }
+
+    fn cell(&self, peer: SocketAddr, now: Instant) -> Arc<OnceCell<Connection>> {
+        let mut entries = self.lock();
+        let entry = entries.entry(peer).or_insert_with(|| Entry {
+            connection: Arc::default(),
+            last_used: now,
+        });
+        if entry.connection.get().is_some_and(Connection::is_closed) {
+            entry.connection = Arc::default();
+        }
+        entry.last_used = now;
+        Arc::clone(&entry.connection)
+    }
+
+    /// Drops connections that are closed or have not been used for the idle limit. Streams that are
+    /// open keep their connection.
+    pub(crate) fn sweep(&self, now: Instant) {
+        self.lock().retain(|_, entry| {
+            let idle = now.saturating_duration_since(entry.last_used) >= self.idle_limit;
+            !idle && !entry.connection.get().is_some_and(Connection::is_closed)
+        });
+    }
+
+    /// Number of connections that are open or being opened.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/call/src/reply.rs
@@ -0,0 +1,16 @@
+use bytes::Bytes;
+use futures::stream::BoxStream;
+use http::{HeaderMap, StatusCode};
+use route::Load;
+
+use crate::Cut;
+
+/// Answer of an upstream on its way through the mesh. Dropping it cancels the call.
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) load: Option<Load>,
+    /// Whether the answer was recorded by an earlier run of the same key.
+    pub(crate) recorded: bool,
+    pub(crate) body: BoxStream<'static, Result<Bytes, Cut>>,
+}
--- /dev/null
+++ b/crates/call/src/target.rs
@@ -0,0 +1,189 @@
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Weak};
+
+use arc_swap::ArcSwapOption;
+use http::StatusCode;
+use route::Load;
+use store::Store;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+use types::Deadline;
+
+use crate::gate::Gate;
+use crate::held::Held;
+use crate::job::Job;
+use crate::local::{Local, PROBE_INTERVAL};
+use crate::once::Once;
+use crate::reply::Reply;
+use crate::run::Run;
+use crate::upstream::Upstream;
+use crate::{Announcement, Failure, Mesh};
+
+/// Target side of the call path: the node beside an upstream. Clones share one state.
+#[derive(Clone)]
+pub struct Target(Arc<Shared>);
+
+struct Shared {
+    mesh: Mesh,
+    once: Option<Arc<Once>>,
+    local: ArcSwapOption<Local>,
+    draining: AtomicBool,
+    announced: watch::Sender<Option<Announcement>>,
+}
+
+impl Target {
+    /// Creates the target side without an upstream. Without a store, calls with an idempotency key are
+    /// refused.
+    #[must_use]
+    pub fn new(mesh: Mesh, store: Option<Store>) -> Self {
+        let once = store.map(|store| Arc::new(Once::new(store, mesh.clone())));
+        Self(Arc::new(Shared {
+            mesh,
+            once,
+            local: ArcSwapOption::empty(),
+            draining: AtomicBool::new(false),
+            announced: watch::Sender::new(None),
+        }))
+    }
+
+    /// Takes or renews the announcement of the upstream. It lapses after 3 s.
+    ///
+    /// Must be called in a runtime, since a task that probes the upstream is started.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP client cannot be set up.
+    pub fn announce(&self, announcement: Announcement) -> Result<(), reqwest::Error> {
+        let draining = self.0.draining.load(Ordering::Acquire);
+        let known = self.0.local.load_full();
+        if let Some(local) = known.filter(|local| local.is_same(&announcement)) {
+            local.announce(announcement, draining);
+        } else {
+            let local = Arc::new(self.0.create(announcement.clone())?);
+            local.announce(announcement, draining);
+            self.0.local.store(Some(Arc::clone(&local)));
+            tokio::spawn(supervise(Arc::downgrade(&self.0), local));
+        }
+        self.0.publish();
+        Ok(())
+    }
+
+    /// Takes the announcement back: new calls are refused from now on.
+    pub fn withdraw(&self) {
+        if let Some(local) = self.0.local.swap(None) {
+            local.gate.update(|admission| admission.set_draining(true));
+        }
+        self.0.publish();
+    }
+
+    /// The upstream as callers' nodes should see it; `None` while there is none or it is gone.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<Option<Announcement>> {
+        self.0.announced.subscribe()
+    }
+
+    /// Load of the upstream; `None` while there is none.
+    #[must_use]
+    pub fn load(&self) -> Option<Load> {
+        self.0.local.load().as_ref().map(|local| local.gate.load())
+    }
+
+    /// Refuses new calls and those in the queue, then waits until the running ones have ended.
+    ///
+    /// Returns the number of calls that still run at the deadline.
+    pub async fn drain(&self, deadline: Deadline) -> u32 {
+        self.0.draining.store(true, Ordering::Release);
+        let Some(local) = self.0.local.load_full() else {
+            return 0;
+        };
+        local.gate.update(|admission| admission.set_draining(true));
+        local.gate.wait_idle(deadline).await
+    }
+
+    /// Runs a call at the upstream. Dropping the future or the reply cancels the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure with outcome `not-run` only when nothing was sent to the upstream, or the
+    /// upstream refused the call itself.
+    pub(crate) async fn run(&self, job: Job, held: Held) -> Result<Reply, Failure> {
+        let local = self.admit(&job)?;
+        let permit = match local.gate.enter(job.deadline).await {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                let failure = Failure::service(&job.service, refusal.reason());
+                return Err(failure.with_load(local.gate.load()));
+            }
+        };
+        let once = self.0.once.clone();
+        Run::new(job, local, permit, once).start(held).await
+    }
+
+    /// Checks what does not depend on the load.
+    fn admit(&self, job: &Job) -> Result<Arc<Local>, Failure> {
+        if self.0.draining.load(Ordering::Acquire) {
+            return Err(Failure::mesh("node is draining"));
+        }
+        if !self.0.mesh.is_ready() {
+            return Err(Failure::mesh("starting"));
+        }
+        if job.deadline.has_passed(Instant::now()) {
+            return Err(Failure::caller(
+                StatusCode::GATEWAY_TIMEOUT,
+                "no time left on arrival",
+            ));
+        }
+        let local = self.0.local.load_full();
+        let local = local
+            .filter(|local| local.serves(&job.service))
+            .ok_or_else(|| Failure::service(&job.service, "no upstream announced"))?;
+        local.check()?;
+        Ok(local)
+    }
+}
+
+impl Shared {
+    fn create(&self, announcement: Announcement) -> Result<Local, reqwest::Error> {
+        let (slots, connections) = (announcement.slots, announcement.connections);
+        let queue = self.mesh.routes().queue(&announcement.service, slots);
+        let upstream = Upstream::new(announcement.address, slots, connections)?;
+        let usable = Upstream::usable_slots(slots, connections);
+        Ok(Local::new(announcement, Gate::new(usable, queue), upstream))
+    }
+
+    fn publish(&self) {
+        let current = self.local.load();
+        let announcement = current.as_ref().and_then(|local| local.announcement());
+        self.announced.send_if_modified(|known| {
+            let changed = *known != announcement;
+            *known = announcement;
+            changed
+        });
+    }
+
+    fn is_current(&self, local: &Arc<Local>) -> bool {
+        let current = self.local.load();
+        current
+            .as_ref()
+            .is_some_and(|current| Arc::ptr_eq(current, local))
+    }
+}
+
+/// Probes an upstream each second until its announcement lapses or is replaced.
+async fn supervise(shared: Weak<Shared>, local: Arc<Local>) {
+    loop {
+        let next = Deadline::after(PROBE_INTERVAL).min(local.expiry());
+        sleep_until(next.instant()).await;
+        local.probe().await;
+        let Some(shared) = shared.upgrade().filter(|shared| shared.is_current(&local)) else {
+            return;
+        };
+        if local.expiry().has_passed(Instant::now()) {
+            shared.local.store(None);
+            local.gate.update(|admission| admission.set_draining(true));
+            shared.publish();
+            return;
+        }
+        shared.publish();
+    }
+}
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -22,6 +22,8 @@
     QueueFull,
     /// The deadline passes before a slot is expected to be free.
     Slow,
+    /// The target takes no new calls.
+    Draining,
 }
 
 impl Refusal {
@@ -32,6 +34,7 @@
             Self::Late => "deadline passed before hand-over",
             Self::QueueFull => "queue full",
             Self::Slow => "deadline cannot be met",
+            Self::Draining => "draining",
         }
     }
 }
@@ -58,6 +61,7 @@
     /// Average service time, in seconds.
     service_time: f64,
     refused: Refused,
+    draining: bool,
 }
 
 impl Admission {
@@ -72,6 +76,7 @@
             next_ticket: 0,
             service_time: 0.0,
             refused: Refused::new(now),
+            draining: false,
         }
     }
 
@@ -86,6 +91,16 @@
         self.limit.restart(now);
     }
 
+    /// Refuses new calls and those in the queue, or takes calls again.
+    pub const fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
+    }
+
+    /// Lets one call run at a time while the trust in the upstream is low.
+    pub const fn set_doubted(&mut self, doubted: bool) {
+        self.limit.set_doubted(doubted);
+    }
+
     /// Decides on a call that arrived at `now`.
     pub fn admit(&mut self, deadline: Deadline, now: Instant) -> Decision {
         match self.decide(deadline, now) {
@@ -107,6 +122,9 @@
     }
 
     fn decide(&self, deadline: Deadline, now: Instant) -> Result<(), Refusal> {
+        if self.draining {
+            return Err(Refusal::Draining);
+        }
         if deadline.has_passed(now) {
             return Err(Refusal::Late);
         }
@@ -144,14 +162,18 @@
     /// change until it returns `None`.
     pub fn next(&mut self, now: Instant) -> Option<(Ticket, Result<(), Refusal>)> {
         let (_, deadline) = self.queue.front()?;
-        let late = deadline.has_passed(now);
-        if !late && self.in_use >= self.limit.get(now) {
+        let refusal = match deadline.has_passed(now) {
+            _ if self.draining => Some(Refusal::Draining),
+            true => Some(Refusal::Late),
+            false => None,
+        };
+        if refusal.is_none() && self.in_use >= self.limit.get(now) {
             return None;
         }
         let (ticket, _) = self.queue.pop_front()?;
-        if late {
+        if let Some(refusal) = refusal {
             self.refused.count(now);
-            return Some((ticket, Err(Refusal::Late)));
+            return Some((ticket, Err(refusal)));
         }
         self.in_use += 1;
         Some((ticket, Ok(())))
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use member::Record;
 use types::{id, size};
 
 /// Target of a service that a call may be sent to, as the membership table shows it.
@@ -17,6 +18,18 @@
     pub slots: size::Slots,
 }
 
+impl From<&Record> for Candidate {
+    fn from(record: &Record) -> Self {
+        Self {
+            node: record.id.clone(),
+            address: record.address,
+            region: record.region.clone(),
+            domain: record.domain.clone(),
+            slots: record.slots,
+        }
+    }
+}
+
 /// Identity and place of the node that chooses.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,7 +1,9 @@
 //! Decisions of the call path, as plain functions and structs on plain data.
 //!
+//! - [`Routes`] finds the [`Plan`] of a call.
 //! - [`Picture`] chooses a target from [`Candidate`]s by [`Tier`], subset, load and recent failures.
 //! - [`Admission`] decides whether a target takes a call, lets it wait or refuses it.
+//! - [`Presence`] decides whether an upstream may get calls.
 //! - [`Budget`] bounds retries, [`Bucket`] bounds keyed calls.
 //!
 //! Nothing here reads a clock, draws its own random numbers or does I/O: `now` and the random source
@@ -26,6 +28,8 @@
 mod limit;
 mod load;
 mod picture;
+mod presence;
+mod routes;
 
 pub use admission::{Admission, Decision, Refusal, Ticket};
 pub use bucket::Bucket;
@@ -33,3 +37,5 @@
 pub use candidate::{Candidate, Place, Tier};
 pub use load::Load;
 pub use picture::{Choice, Picture, Scope};
+pub use presence::{ANNOUNCEMENT_LIFE, Presence, Probe, Stage, Verdict};
+pub use routes::{NoRoute, Plan, Routes, is_plain_path};
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -22,6 +22,7 @@
     ready_since: Instant,
     /// Limit after the last reduction and its time; it grows by one each second from then on.
     reduced: Option<(f64, Instant)>,
+    doubted: bool,
 }
 
 impl Limit {
@@ -30,6 +31,7 @@
             slots,
             ready_since: now,
             reduced: None,
+            doubted: false,
         }
     }
 
@@ -42,6 +44,10 @@
         self.reduced = None;
     }
 
+    pub(crate) const fn set_doubted(&mut self, doubted: bool) {
+        self.doubted = doubted;
+    }
+
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.ready_since) < WARM_UP
     }
@@ -59,7 +65,11 @@
     /// Calls that may run at `now`; at least one.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub(crate) fn get(&self, now: Instant) -> u32 {
-        (self.value(now) as u32).max(1)
+        if self.doubted {
+            1
+        } else {
+            (self.value(now) as u32).max(1)
+        }
     }
 
     fn value(&self, now: Instant) -> f64 {
