--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -65,7 +65,9 @@
     let opening = connection.open(wire::Kind::Call);
     match timeout_at(deadline.instant(), opening).await {
         Ok(Ok(stream)) => Ok(stream),
-        Ok(Err(error)) => Err(Failure::mesh(format!("link failed before hand-over: {error}"))),
+        Ok(Err(error)) => Err(Failure::mesh(format!(
+            "link failed before hand-over: {error}"
+        ))),
         Err(_) => Err(Failure::mesh("deadline passed before hand-over")),
     }
 }
--- a/crates/call/src/held.rs
+++ b/crates/call/src/held.rs
@@ -50,9 +50,11 @@
 
     /// Whether the body can still be sent from its start.
     pub(crate) fn is_complete(&self) -> bool {
-        self.rest
-            .as_ref()
-            .is_none_or(|rest| rest.lock().unwrap_or_else(PoisonError::into_inner).is_some())
+        self.rest.as_ref().is_none_or(|rest| {
+            rest.lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .is_some()
+        })
     }
 
     /// Parts of a body that is wholly in memory.
--- a/crates/call/src/ledger.rs
+++ b/crates/call/src/ledger.rs
@@ -41,9 +41,7 @@
     /// Sets the route; its owner pays when the caller named none.
     pub(crate) fn set_plan(&mut self, plan: &Arc<Plan>) -> id::Owner {
         self.plan = Some(Arc::clone(plan));
-        self.owner
-            .get_or_insert_with(|| plan.owner.clone())
-            .clone()
+        self.owner.get_or_insert_with(|| plan.owner.clone()).clone()
     }
 
     /// Turns a failure into the caller's answer.
@@ -171,8 +169,13 @@
             Some((Err(cut), None))
         }
         None => {
-            let Delivery { fault, reason, .. } = &delivery;
-            delivery.ledger.settle(Outcome::Ran, fault, reason);
+            let Delivery {
+                mut ledger,
+                fault,
+                reason,
+                ..
+            } = delivery;
+            ledger.settle(Outcome::Ran, &fault, &reason);
             None
         }
     }
@@ -181,6 +184,12 @@
 /// Text that may stand in a header.
 fn visible(text: &str) -> String {
     text.chars()
-        .map(|c| if c == ' ' || c.is_ascii_graphic() { c } else { '?' })
+        .map(|c| {
+            if c == ' ' || c.is_ascii_graphic() {
+                c
+            } else {
+                '?'
+            }
+        })
         .collect()
 }
--- a/crates/call/src/local.rs
+++ b/crates/call/src/local.rs
@@ -57,9 +57,7 @@
         self.gate
             .update(|admission| admission.set_draining(draining));
         let mut state = self.lock();
-        state
-            .presence
-            .announce(announcement.state, Instant::now());
+        state.presence.announce(announcement.state, Instant::now());
         state.announcement = announcement;
     }
 
--- a/crates/call/src/message.rs
+++ b/crates/call/src/message.rs
@@ -39,7 +39,10 @@
     let mut map = HeaderMap::with_capacity(headers.len());
     for header in headers {
         let name = HeaderName::from_bytes(header.name.as_bytes())?;
-        map.append(name, HeaderValue::from_maybe_shared(bytes::Bytes::from(header.value))?);
+        map.append(
+            name,
+            HeaderValue::from_maybe_shared(bytes::Bytes::from(header.value))?,
+        );
     }
     Ok(map)
 }
--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -22,7 +22,7 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
 
 /// Header by which an upstream marks a 503 as refused before any work was done.
-const SHED_HEADER: &str = "dandelionseam-shed";
+const SHED_HEADER: &str = "shed";
 
 /// Headers that concern one connection only, or that are written anew.
 const HOP_HEADERS: [HeaderName; 9] = [
@@ -163,7 +163,10 @@
     let texts = [
         ("dandelionseam-request-id", job.request.to_string()),
         ("dandelionseam-owner", job.owner.to_string()),
-        ("dandelionseam-deadline-ms", remaining.as_millis().to_string()),
+        (
+            "dandelionseam-deadline-ms",
+            remaining.as_millis().to_string(),
+        ),
         ("idempotency-key", job.key.clone().unwrap_or_default()),
     ];
     for (name, text) in texts {
