node: caller port with streamed bodies in both directions

The answer of the call path goes to the caller as it comes; an answer that broke off resets the connection.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -1,4 +1,4 @@
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::{Notify, watch};
 use types::Deadline;
@@ -35,7 +35,7 @@
 }
 
 /// A call on a connection; the connection does not idle while it lives.
-pub struct Busy<'l>(&'l Link);
+pub struct Busy(Arc<Link>);
 
 impl Link {
     /// Creates the state of a connection that was just accepted.
@@ -54,13 +54,13 @@
 
     /// Marks a call on the connection until the result is dropped.
     #[must_use]
-    pub fn begin(&self) -> Busy<'_> {
+    pub fn begin(self: &Arc<Self>) -> Busy {
         let mut state = self.lock();
         state.calls += 1;
         state.started = false;
         drop(state);
         self.changed.notify_one();
-        Busy(self)
+        Busy(Arc::clone(self))
     }
 
     /// Breaks the connection off, so that the caller cannot take the answer for complete.
@@ -134,7 +134,7 @@
     }
 }
 
-impl Drop for Busy<'_> {
+impl Drop for Busy {
     fn drop(&mut self) {
         let mut state = self.0.lock();
         state.calls -= 1;
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -3,6 +3,7 @@
 use gumdrop::Options as _;
 
 /// Command line of `dandelionseamd`.
+#[allow(clippy::struct_excessive_bools)] // Each flag is one word of the command line.
 #[derive(Debug, Default, gumdrop::Options)]
 pub struct Options {
     /// Settings file.
--- /dev/null
+++ b/crates/node/tests/callers.rs
@@ -0,0 +1,267 @@
+//! Contract of the caller port, with a backend in the test.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use call::{Answer, Body, Cut, Request};
+use futures::future::BoxFuture;
+use futures::{FutureExt, StreamExt, stream};
+use http::{HeaderMap, StatusCode};
+use node::{Backend, Callers, Front, Limits, Metrics, Relay};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use types::{Fault, Outcome, Version, size};
+
+const BODY_LIMIT: u64 = 100_000;
+
+/// Bound for anything that must happen at once, wide enough for a busy machine.
+const SOON: Duration = Duration::from_secs(10);
+
+async fn start<F>(call: F) -> SocketAddr
+where
+    F: Fn(Request) -> BoxFuture<'static, Answer> + Send + Sync + 'static,
+{
+    let backend = Backend {
+        call: Box::new(call),
+        version: Box::new(|| Version::new(7)),
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let relay = Arc::new(Relay::default());
+    let limits = Limits {
+        body: size::Bytes::new(BODY_LIMIT),
+        in_flight: 64,
+    };
+    let metrics = Arc::new(Metrics::new().unwrap());
+    let callers = Callers::new(backend, Arc::clone(&relay), metrics, limits);
+    Front::start(listener, relay, callers.rocket(), 128)
+        .await
+        .unwrap();
+    address
+}
+
+fn answer(request: &Request, body: Body) -> Answer {
+    Answer {
+        request: request.id.clone(),
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        outcome: Outcome::Ran,
+        fault: Fault::None,
+        reason: "answered".to_owned(),
+        version: Version::new(7),
+        body,
+    }
+}
+
+/// Answers with the method, the target and the body of the request.
+fn echo(mut request: Request) -> BoxFuture<'static, Answer> {
+    async move {
+        let mut text = format!("{} {} ", request.method, request.target).into_bytes();
+        while let Some(part) = request.body.next().await {
+            match part {
+                Ok(part) => text.extend_from_slice(&part),
+                Err(_) => text = b"request cut".to_vec(),
+            }
+        }
+        answer(&request, Body::whole(Bytes::from(text)))
+    }
+    .boxed()
+}
+
+/// Sends raw bytes and reads until the connection ends. The error is kept beside what came before.
+async fn exchange(address: SocketAddr, text: &[u8]) -> (String, std::io::Result<()>) {
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    // The server may close before everything is written.
+    let _ = socket.write_all(text).await;
+    let mut received = Vec::new();
+    let result = timeout(SOON, socket.read_to_end(&mut received))
+        .await
+        .expect("the connection must end");
+    let text = String::from_utf8_lossy(&received).into_owned();
+    (text, result.map(|_| ()))
+}
+
+fn cut_after(part: &'static [u8]) -> Body {
+    let cut = Cut {
+        fault: Fault::Mesh,
+        reason: "link lost".to_owned(),
+    };
+    Body::new(stream::iter([Ok(Bytes::from_static(part)), Err(cut)]))
+}
+
+/// Guards against an answer that broke off and looks complete to the caller.
+#[tokio::test]
+async fn cut_answer_is_never_complete() {
+    for length in [None, Some("100")] {
+        let address = start(move |request| {
+            let mut answer = answer(&request, cut_after(b"first part"));
+            if let Some(length) = length {
+                let value = length.parse().unwrap();
+                answer.headers.insert("content-length", value);
+            }
+            async move { answer }.boxed()
+        })
+        .await;
+        for _ in 0..20 {
+            let (text, _) = exchange(address, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await;
+            assert!(!text.ends_with("0\r\n\r\n"), "{length:?}: {text}");
+            let answer = reqwest::get(format!("http://{address}/")).await;
+            let body = match answer {
+                Ok(answer) => answer.bytes().await,
+                Err(error) => Err(error),
+            };
+            assert!(body.is_err(), "{length:?}: the answer must not be complete");
+        }
+    }
+}
+
+/// Guards against a request that broke off, or is over the limit, and goes on as complete.
+#[tokio::test]
+async fn cut_request_is_never_complete() {
+    let (ends, mut ended) = mpsc::channel(8);
+    let address = start(move |mut request: Request| {
+        let ends = ends.clone();
+        async move {
+            let parts: Vec<_> = request.body.by_ref().collect().await;
+            ends.send(parts.iter().all(Result::is_ok)).await.unwrap();
+            answer(&request, Body::whole(Bytes::new()))
+        }
+        .boxed()
+    })
+    .await;
+    let part = format!("{:x}\r\n{}\r\n", 10_000, "x".repeat(10_000));
+    let chunked =
+        "POST / HTTP/1.1\r\nhost: x\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (body, complete) in [
+        (part.repeat(10) + "0\r\n\r\n", true),
+        (part.repeat(11) + "0\r\n\r\n", false),
+    ] {
+        let text = format!("{chunked}{body}");
+        let _ = exchange(address, text.as_bytes()).await;
+        assert_eq!(ended.recv().await, Some(complete));
+    }
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    socket
+        .write_all(format!("{chunked}{part}").as_bytes())
+        .await
+        .unwrap();
+    drop(socket);
+    // The call is cancelled, or sees the failure; it must not see a proper end.
+    let end = timeout(Duration::from_secs(1), ended.recv()).await;
+    assert!(!matches!(end, Ok(Some(true))), "{end:?}");
+}
+
+/// Guards against requests that reach the upstream changed: another method, another path.
+#[tokio::test]
+async fn method_and_target_are_kept() {
+    let address = start(echo).await;
+    let form = "content-type: application/x-www-form-urlencoded\r\n";
+    for (method, target, header, body) in [
+        ("GET", "/", "", ""),
+        ("DELETE", "/a/../b//c/?x=%20&y", "", ""),
+        ("PATCH", "/%7Euser/", "", "text"),
+        ("OPTIONS", "/a", "", ""),
+        ("POST", "/form", form, "_method=delete&a=1"),
+        ("POST", "/form", form, "_method=put"),
+        ("POST", "/form", form, "a=1&_method=put"),
+        ("PUT", "/form", form, "_method=delete"),
+    ] {
+        let request = format!(
+            "{method} {target} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{header}content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let (text, _) = exchange(address, request.as_bytes()).await;
+        let expected = format!("{method} {target} {body}");
+        assert!(text.contains(&expected), "{expected}: {text}");
+    }
+}
+
+/// Guards against headers of section 7 that are missing and headers that the HTTP library adds.
+#[tokio::test]
+async fn answers_carry_the_mesh_headers_only() {
+    let address = start(echo).await;
+    let client = reqwest::Client::new();
+    let url = format!("http://{address}/");
+    let good = client.get(&url).send().await.unwrap();
+    assert_eq!(good.headers()["dandelionseam-outcome"], "ran");
+    for name in [
+        "server",
+        "x-content-type-options",
+        "x-frame-options",
+        "permissions-policy",
+    ] {
+        assert!(!good.headers().contains_key(name), "{name}");
+    }
+    let head = client.head(&url).send().await.unwrap();
+    assert_eq!(head.headers()["dandelionseam-outcome"], "ran");
+    for (name, value) in [
+        ("dandelionseam-deadline-ms", "soon"),
+        ("dandelionseam-owner", "a b"),
+        ("idempotency-key", ""),
+    ] {
+        let bad = client.get(&url).header(name, value).send().await.unwrap();
+        assert_eq!(bad.status(), 400, "{name}");
+        assert_eq!(bad.headers()["dandelionseam-outcome"], "not-run");
+        assert_eq!(bad.headers()["dandelionseam-fault"], "caller");
+        assert_eq!(bad.headers()["dandelionseam-version"], "7");
+        assert!(bad.headers().contains_key("dandelionseam-request-id"));
+    }
+}
+
+/// Guards against calls that run on after their caller has hung up.
+#[tokio::test]
+async fn hang_up_cancels_the_call() {
+    let (started, mut starts) = mpsc::channel::<mpsc::Receiver<()>>(1);
+    let address = start(move |_| {
+        let started = started.clone();
+        async move {
+            let (alive, watch) = mpsc::channel(1);
+            started.send(watch).await.unwrap();
+            std::future::pending::<()>().await;
+            drop(alive);
+            unreachable!()
+        }
+        .boxed()
+    })
+    .await;
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    socket.write_all(request).await.unwrap();
+    let mut alive = starts.recv().await.unwrap();
+    drop(socket);
+    let dropped = timeout(SOON, alive.recv()).await;
+    assert_eq!(dropped, Ok(None), "the call must be dropped");
+}
+
+/// Guards against bad input that ends the process, is run, or stops the port for others.
+#[tokio::test]
+async fn bad_input_is_refused() {
+    let address = start(echo).await;
+    let header = format!("x-long: {}\r\n", "x".repeat(8192));
+    let huge = format!("GET / HTTP/1.1\r\n{}\r\n", header.repeat(200));
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(2000));
+    for input in [
+        b"\x00\xff\x17random\r\n\r\n".as_slice(),
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        b"BREW / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
+        huge.as_bytes(),
+        many.as_bytes(),
+    ] {
+        let (text, _) = exchange(address, input).await;
+        assert!(text.is_empty() || text.starts_with("HTTP/1.1 4"), "{text}");
+    }
+    let mut slow = TcpStream::connect(address).await.unwrap();
+    slow.write_all(b"GET / HTT").await.unwrap();
+    let good = reqwest::get(format!("http://{address}/")).await.unwrap();
+    assert_eq!(good.status(), 200);
+    // The bound for a request head is 10 s.
+    let closed = timeout(Duration::from_secs(15), slow.read(&mut [0; 16])).await;
+    assert!(
+        matches!(closed, Ok(Ok(0) | Err(_))),
+        "a slow sender must be closed: {closed:?}"
+    );
+}
