--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -102,7 +102,11 @@
                 let same = self.entries[key].record.content() == record.content();
                 self.remove(key);
                 self.insert(record, gone);
-                if same { Merge::Changed } else { Merge::Replaced }
+                if same {
+                    Merge::Changed
+                } else {
+                    Merge::Replaced
+                }
             }
             Some(_) => Merge::Old,
         }
--- a/crates/spread/src/admission.rs
+++ b/crates/spread/src/admission.rs
@@ -1,3 +1,5 @@
+//! Which children a node accepts.
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -71,13 +73,23 @@
 }
 
 /// Children of a node and the rate at which it accepts new ones.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Admission<C> {
     children: BTreeMap<id::Node, C>,
     second: Option<Instant>,
     accepted: u32,
 }
 
+impl<C> Default for Admission<C> {
+    fn default() -> Self {
+        Self {
+            children: BTreeMap::new(),
+            second: None,
+            accepted: 0,
+        }
+    }
+}
+
 impl<C> Admission<C> {
     /// Decides whether `child` may attach. `limit` is the largest number of children.
     ///
--- a/crates/spread/src/child.rs
+++ b/crates/spread/src/child.rs
@@ -12,7 +12,7 @@
 use crate::link::{Link, Lost};
 use crate::news::Origin;
 use crate::shared::{Child, Shared};
-use crate::{placement, transfer};
+use crate::{placement, standby, transfer};
 
 /// Serves a child from its greeting until the link is lost, then watches for its return.
 pub(crate) async fn run(shared: Shared, mut link: Link, hello: Hello, child: Record) {
@@ -58,7 +58,7 @@
     }
     release(&shared, &child.id, number);
     log::info!(
-        node = shared.place.id.as_str(), child = child.id.as_str(), reason = lost:%;
+        node = shared.place.id.as_str(), child = child.id.as_str(), reason:% = lost;
         "child link ended"
     );
     watch_return(&shared, &child, &lost).await;
@@ -129,7 +129,10 @@
 
 fn release(shared: &Shared, child: &id::Node, number: u64) {
     let mut children = shared.children();
-    if children.get_mut(child).is_some_and(|state| state.link == number) {
+    if children
+        .get_mut(child)
+        .is_some_and(|state| state.link == number)
+    {
         children.remove(child);
     }
 }
@@ -137,10 +140,15 @@
 /// Marks a child that does not appear elsewhere as suspect and then, with its descendants, as down.
 async fn watch_return(shared: &Shared, child: &Record, lost: &Lost) {
     let silence = shared.config.silence;
-    if *lost == Lost::Bye {
-        // The child has announced its leave or move; it gets the time to do so.
+    if matches!(lost, Lost::Bye | Lost::Misplaced) {
+        // The child has announced its leave or was sent away; it gets the time to attach elsewhere.
         sleep(silence).await;
     }
+    if !shared.is_placed() {
+        // A node that was cut off does not know where the child is. It waits for news.
+        standby::wait_placed(shared).await;
+        sleep(silence * 2).await;
+    }
     let Some(seen) = own_child(shared, &child.id) else {
         return;
     };
@@ -172,10 +180,17 @@
     let orphans: Vec<Record> = {
         let table = shared.table();
         let nodes = member::orphans(&table, lost);
-        nodes.iter().filter_map(|node| table.get(node).cloned()).collect()
+        nodes
+            .iter()
+            .filter_map(|node| table.get(node).cloned())
+            .collect()
     };
     for orphan in &orphans {
-        shared.mark(orphan, State::Down, "parent down and not attached elsewhere");
+        shared.mark(
+            orphan,
+            State::Down,
+            "parent down and not attached elsewhere",
+        );
     }
 }
 
@@ -270,7 +285,9 @@
 
     fn note_held(&mut self, version: Version) {
         let now = Instant::now();
-        self.shared.witness().record(self.child.address, version, now);
+        self.shared
+            .witness()
+            .record(self.child.address, version, now);
         if version >= self.sent.0 {
             // The snapshot has arrived; the next child may have one.
             self.permit = None;
@@ -287,7 +304,11 @@
     /// Gives up a child that another link serves, or that this node may no longer have because it
     /// has stopped being the root.
     fn check_place(&self) -> Result<(), Lost> {
-        let current = self.shared.children().get_mut(&self.child.id).map(|child| child.link);
+        let current = self
+            .shared
+            .children()
+            .get_mut(&self.child.id)
+            .map(|child| child.link);
         if current != Some(self.number) {
             return Err(Lost::Replaced);
         }
--- a/crates/spread/src/dial.rs
+++ b/crates/spread/src/dial.rs
@@ -36,7 +36,11 @@
     link.send(Kind::Hello(hello(shared, kind)?)).await.ok()?;
     match link.recv().await.ok()? {
         Kind::Welcome(welcome) => {
-            if let Some(record) = welcome.record.as_ref().and_then(|r| Record::try_from(r).ok()) {
+            if let Some(record) = welcome
+                .record
+                .as_ref()
+                .and_then(|r| Record::try_from(r).ok())
+            {
                 link.set_place(&record.region, &record.domain);
             }
             Some(Dialled::Open(Box::new(link), welcome))
@@ -51,7 +55,9 @@
 }
 
 async fn open(shared: &Shared, peer: SocketAddr) -> Option<Link> {
-    let connection = Connection::connect(peer, Deadline::after(DIAL_LIMIT)).await.ok()?;
+    let connection = Connection::connect(peer, Deadline::after(DIAL_LIMIT))
+        .await
+        .ok()?;
     let stream = connection.open(wire::Kind::Control).await.ok()?;
     let mut link = Link::new(shared, stream, Some(connection));
     let known = {
--- a/crates/spread/src/floor.rs
+++ b/crates/spread/src/floor.rs
@@ -1,3 +1,5 @@
+//! The lowest version that a started node may serve.
+
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,6 +14,7 @@
 use crate::link::Link;
 use crate::placement;
 use crate::shared::{Attachment, Shared};
+use crate::signal::wait_for;
 
 /// Time that a started node waits for an answer from the store before it asks witnesses, and between
 /// two rounds of questions.
@@ -58,9 +61,7 @@
     log::info!(
         node = shared.place.id.as_str(), version = floor.get(), reason = reason; "floor known"
     );
-    let mut bundles = shared.bundles.subscribe();
-    // The sender lives as long as `shared`, so the wait cannot fail.
-    let _ = bundles.wait_for(|bundle| bundle.version >= floor).await;
+    wait_for(&shared.bundles, |bundle| bundle.version >= floor).await;
     shared.ready.send_replace(true);
     shared.refresh_state();
     log::info!(
--- a/crates/spread/src/fresh.rs
+++ b/crates/spread/src/fresh.rs
@@ -1,6 +1,10 @@
+//! Requests for a fresh read of the store, merged on their way up the tree.
+
 use tokio::sync::watch;
 use types::Version;
 
+use crate::signal::wait_for;
+
 /// Requests for a version that was read from the store after the request.
 ///
 /// Each request takes the next ticket. An answer covers every ticket that was taken before the read
@@ -13,6 +17,7 @@
 
 impl Fresh {
     /// Takes a ticket.
+    #[must_use]
     pub fn request(&self) -> u64 {
         self.requested.send_modify(|ticket| *ticket += 1);
         self.newest()
@@ -32,9 +37,7 @@
 
     /// Waits until a ticket waits for an answer.
     pub async fn wait_request(&self) {
-        let mut requested = self.requested.subscribe();
-        // The sender lives as long as `self`, so the wait cannot fail.
-        let _ = requested.wait_for(|ticket| *ticket > self.served.borrow().0).await;
+        wait_for(&self.requested, |ticket| *ticket > self.served.borrow().0).await;
     }
 
     /// Answers all tickets up to `ticket`.
@@ -50,10 +53,8 @@
 
     /// Waits for the answer to a ticket.
     pub async fn wait(&self, ticket: u64) -> Version {
-        let mut served = self.served.subscribe();
-        match served.wait_for(|(answered, _)| *answered >= ticket).await {
-            Ok(served) => served.1,
-            Err(_) => std::future::pending().await,
-        }
+        wait_for(&self.served, |(answered, _)| *answered >= ticket)
+            .await
+            .1
     }
 }
--- a/crates/spread/src/history.rs
+++ b/crates/spread/src/history.rs
@@ -1,3 +1,5 @@
+//! Deltas that are kept for children that resume.
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 
--- a/crates/spread/src/link.rs
+++ b/crates/spread/src/link.rs
@@ -69,6 +69,7 @@
     /// Starts the sending task. The peer's place is unknown until [`Link::set_place`].
     pub(crate) fn new(shared: &Shared, stream: Stream, connection: Option<Connection>) -> Self {
         let (queue, messages) = mpsc::channel(QUEUE);
+        shared.open_links.send_modify(|open| *open += 1);
         Self {
             queue,
             sending: tokio::spawn(send_messages(shared.clone(), stream.sender, messages)),
@@ -136,6 +137,7 @@
 impl Drop for Link {
     fn drop(&mut self) {
         self.sending.abort();
+        self.shared.open_links.send_modify(|open| *open -= 1);
     }
 }
 
--- a/crates/spread/src/parent.rs
+++ b/crates/spread/src/parent.rs
@@ -14,6 +14,7 @@
 use crate::news::Origin;
 use crate::placement;
 use crate::shared::{Attachment, Shared};
+use crate::signal::wait_for;
 use crate::transfer::{Assembly, Progress};
 
 /// Peers that are asked in one round.
@@ -35,9 +36,11 @@
         backoff.reset();
         let since = Instant::now();
         let lost = follow(&shared, link, &parent, &welcome).await;
-        shared.attachment.send_replace(Attachment::Detached(Instant::now()));
+        shared
+            .attachment
+            .send_replace(Attachment::Detached(Instant::now()));
         log::warn!(
-            node = shared.place.id.as_str(), parent = parent.as_str(), reason = lost:%,
+            node = shared.place.id.as_str(), parent = parent.as_str(), reason:% = lost,
             version = shared.version().get(), after_ms = elapsed_ms(since); "parent lost"
         );
         if lost == Lost::Stop {
@@ -49,11 +52,7 @@
 }
 
 async fn wait_not_reader(shared: &Shared) {
-    let mut role = shared.role.subscribe();
-    // The sender lives as long as `shared`, so the wait cannot fail.
-    let _ = role
-        .wait_for(|role| !matches!(role, Role::Reader(_)))
-        .await;
+    wait_for(&shared.role, |role| !matches!(role, Role::Reader(_))).await;
 }
 
 /// Asks peers for a place until one accepts.
@@ -70,7 +69,10 @@
         match dial(shared, peer, control::Link::Parent).await {
             Dialled::Open(link, welcome) => {
                 shared.contact.send_replace(Some(Instant::now()));
-                let id = welcome.record.as_ref().and_then(|record| record.id.parse().ok());
+                let id = welcome
+                    .record
+                    .as_ref()
+                    .and_then(|record| record.id.parse().ok());
                 return id.map(|id| (link, id, welcome));
             }
             Dialled::Busy(reason, alternatives) => {
@@ -91,12 +93,13 @@
 
 fn peers(shared: &Shared, excluded: Option<&id::Node>) -> VecDeque<SocketAddr> {
     let table = shared.table();
-    let known = table.get(&shared.place.id).map(|me| {
-        placement::parents(&table, me, shared.config.fanout, excluded)
-    });
-    let seeds = shared.config.seeds.iter().copied();
-    let reader = shared.reader_address.borrow().into_iter();
-    known.unwrap_or_default().into_iter().chain(reader).chain(seeds).collect()
+    let known = table
+        .get(&shared.place.id)
+        .map(|me| placement::parents(&table, me, shared.config.fanout, excluded));
+    let mut peers: VecDeque<_> = known.unwrap_or_default().into();
+    peers.extend(*shared.reader_address.borrow());
+    peers.extend(&shared.config.seeds);
+    peers
 }
 
 /// Serves the link to the parent until it is lost.
@@ -114,7 +117,9 @@
     }
     shared.set_role(Role::Member);
     shared.update_me(|me| me.parent = Some(parent.clone()));
-    shared.attachment.send_replace(Attachment::Attached(parent.clone()));
+    shared
+        .attachment
+        .send_replace(Attachment::Attached(parent.clone()));
     log::info!(
         node = shared.place.id.as_str(), parent = parent.as_str(),
         version = shared.version().get(), reason = "accepted"; "parent chosen"
@@ -160,7 +165,6 @@
         let shared = self.shared.clone();
         let mut bundles = shared.bundles.subscribe();
         let mut lagging = shared.lagging.subscribe();
-        let mut role = shared.role.subscribe();
         let mut beat = interval(shared.config.heartbeat);
         beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let is_new = shared.table().len() <= 2;
@@ -179,7 +183,7 @@
                 Ok(true) = async { lagging.changed().await.map(|()| *lagging.borrow()) } => {
                     return Err(Lost::Lagging);
                 }
-                Ok(_) = role.wait_for(|role| matches!(role, Role::Reader(_))) => {
+                _ = wait_for(&shared.role, |role| matches!(role, Role::Reader(_))) => {
                     return Err(Lost::Reader);
                 }
                 () = shared.wait_closing() => return Err(Lost::Stop),
@@ -192,9 +196,7 @@
             Kind::Update(update) => self.update(update).await,
             Kind::Records(news) => self.exchange.merge(&self.link, &news).await,
             Kind::Buckets(buckets) => self.exchange.answer(&self.link, &buckets).await,
-            Kind::Heartbeat(heartbeat) => {
-                self.exchange.compare(&self.link, heartbeat.table).await
-            }
+            Kind::Heartbeat(heartbeat) => self.exchange.compare(&self.link, heartbeat.table).await,
             Kind::FloorReply(reply) => {
                 if let Some(ticket) = self.outstanding.take() {
                     self.shared.fresh.serve(ticket, Version::new(reply.version));
--- a/crates/spread/src/placement.rs
+++ b/crates/spread/src/placement.rs
@@ -1,3 +1,5 @@
+//! Peers that a node asks for a place in the tree.
+
 use std::net::SocketAddr;
 
 use member::{Record, State, Table};
--- a/crates/spread/src/region.rs
+++ b/crates/spread/src/region.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use member::Record;
-use schema::control::{self, Busy, Hello, Welcome, message::Kind};
+use schema::control::{self, Busy, Welcome, message::Kind};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use types::{Deadline, id};
@@ -78,7 +78,10 @@
 async fn open(shared: Shared, region: id::Region, peers: Vec<SocketAddr>) {
     for peer in peers {
         if let Dialled::Open(link, welcome) = dial(&shared, peer, control::Link::Region).await {
-            let record = welcome.record.as_ref().and_then(|r| Record::try_from(r).ok());
+            let record = welcome
+                .record
+                .as_ref()
+                .and_then(|r| Record::try_from(r).ok());
             match record {
                 Some(root) if root.region == region => {
                     return serve(&shared, *link, root, true).await;
@@ -90,7 +93,7 @@
 }
 
 /// Serves the link that the root of another region has opened.
-pub(crate) async fn accept(shared: Shared, link: Link, _hello: Hello, root: Record) {
+pub(crate) async fn accept(shared: Shared, link: Link, root: Record) {
     if !shared.is_root() || root.region == shared.place.region {
         let roots: Vec<_> = {
             let table = shared.table();
@@ -132,13 +135,16 @@
     shared.merge(root, 0, Origin::Region(number));
     let lost = exchange(shared, &mut link, &region, (number, dialled)).await;
     let mut regions = shared.regions();
-    if regions.get(&region).is_some_and(|state| state.link == number) {
+    if regions
+        .get(&region)
+        .is_some_and(|state| state.link == number)
+    {
         regions.remove(&region);
     }
     drop(regions);
     log::info!(
         node = shared.place.id.as_str(), region = region.as_str(),
-        reason = lost.err().unwrap_or(Lost::Closed):%; "region link ended"
+        reason:% = lost.err().unwrap_or(Lost::Closed); "region link ended"
     );
 }
 
--- a/crates/spread/src/shared.rs
+++ b/crates/spread/src/shared.rs
@@ -11,12 +11,13 @@
 use store::Store;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
-use types::{Timestamp, Version, id, size::Slots};
+use types::{Incarnation, Timestamp, Version, id, size::Slots};
 
 use crate::admission::{Admission, Role, SNAPSHOTS};
 use crate::fresh::Fresh;
 use crate::history::History;
 use crate::news::{News, Origin};
+use crate::signal::wait_for;
 use crate::summary;
 use crate::traffic::Counters;
 use crate::witness::Witness;
@@ -49,7 +50,13 @@
     pub(crate) snapshots: Arc<Semaphore>,
     pub(crate) standbys: AtomicUsize,
     pub(crate) counters: Counters,
+    /// Set when a planned stop begins.
+    pub(crate) draining: watch::Sender<bool>,
+    /// Set when all links must close.
     pub(crate) closing: watch::Sender<bool>,
+    /// Number of open links.
+    pub(crate) open_links: watch::Sender<usize>,
+    pub(crate) incarnation: Incarnation,
     /// Reader of the region that the store names.
     pub(crate) reader_address: watch::Sender<Option<SocketAddr>>,
     /// Set when a standby has been ahead for too long; the parent link then moves.
@@ -110,6 +117,7 @@
             region: me.region.clone(),
             domain: me.domain.clone(),
         };
+        let incarnation = me.incarnation;
         let mut table = Table::default();
         table.merge(me, Instant::now());
         let empty = Arc::new(Bundle::empty());
@@ -127,7 +135,10 @@
             snapshots: Arc::new(Semaphore::new(SNAPSHOTS)),
             standbys: AtomicUsize::new(0),
             counters: Counters::default(),
+            draining: watch::Sender::default(),
             closing: watch::Sender::default(),
+            open_links: watch::Sender::default(),
+            incarnation,
             reader_address: watch::Sender::default(),
             lagging: watch::Sender::default(),
             contact: watch::Sender::default(),
@@ -197,8 +208,42 @@
 
     /// Waits until the node stops.
     pub(crate) async fn wait_closing(&self) {
-        // The sender lives as long as `self`, so the wait cannot fail.
-        let _ = self.closing.subscribe().wait_for(|closing| *closing).await;
+        wait_for(&self.closing, |closing| *closing).await;
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    /// Waits until a planned stop begins.
+    pub(crate) async fn wait_draining(&self) {
+        wait_for(&self.draining, |draining| *draining).await;
+    }
+
+    /// Waits until no link is open.
+    pub(crate) async fn wait_links_closed(&self) {
+        wait_for(&self.open_links, |open| *open == 0).await;
+    }
+
+    /// Parent in the tree.
+    pub(crate) fn parent(&self) -> Option<id::Node> {
+        match &*self.attachment.borrow() {
+            Attachment::Attached(parent) if !self.is_root() => Some(parent.clone()),
+            _ => None,
+        }
+    }
+
+    /// Whether this node has a parent or is a root. A node that is cut off cannot judge others.
+    pub(crate) fn is_placed(&self) -> bool {
+        self.is_root() || matches!(*self.attachment.borrow(), Attachment::Attached(_))
+    }
+
+    /// Highest version that this node knows to have been held anywhere.
+    pub(crate) fn highest_seen(&self) -> Version {
+        let summaries = self.summaries();
+        let reported = summaries.iter().map(|summary| summary.highest).max();
+        let remembered = self.witness().highest();
+        Version::new(reported.unwrap_or_default()).max(remembered)
     }
 
     /// Own record as the table holds it.
@@ -259,20 +304,23 @@
     }
 
     pub(crate) fn set_upstream(&self, upstream: Option<Upstream>) {
-        let changed = std::mem::replace(&mut *lock(&self.upstream), upstream.clone()) != upstream;
-        if changed {
-            self.refresh_state();
+        let mut held = lock(&self.upstream);
+        if *held == upstream {
+            return;
         }
+        *held = upstream;
+        drop(held);
+        self.refresh_state();
     }
 
     /// Brings state, service and slots of the own record up to date.
     pub(crate) fn refresh_state(&self) {
         let upstream = lock(&self.upstream).clone();
         let ready = *self.ready.borrow();
-        let closing = self.is_closing();
+        let draining = self.is_draining();
         self.update_me(|me| {
             me.state = match &upstream {
-                _ if closing => State::Draining,
+                _ if draining => State::Draining,
                 _ if !ready => State::Starting,
                 Some((_, _, state)) => *state,
                 None => State::Ready,
@@ -335,14 +383,18 @@
                 Ok(record) => {
                     self.merge(record, message.gone_s, origin);
                 }
-                Err(error) => log::warn!(id = message.id, reason = error:%; "record refused"),
+                Err(error) => {
+                    log::warn!(id = message.id.as_str(), reason:% = error; "record refused");
+                }
             }
         }
         let mut missing = false;
         for message in &news.changes {
             match member::Change::try_from(message) {
                 Ok(change) => missing |= self.merge_change(&change, origin) == Merge::Missing,
-                Err(error) => log::warn!(id = message.id, reason = error:%; "change refused"),
+                Err(error) => {
+                    log::warn!(id = message.id.as_str(), reason:% = error; "change refused");
+                }
             }
         }
         missing
--- a/crates/spread/src/standby.rs
+++ b/crates/spread/src/standby.rs
@@ -10,6 +10,7 @@
 use crate::dial::{Backoff, Dialled, dial};
 use crate::link::{Link, Lost};
 use crate::shared::{Attachment, Shared};
+use crate::signal::wait_for;
 use crate::{child, parent, placement};
 
 /// Time for which a standby may be ahead before the parent is taken to lag.
@@ -36,7 +37,7 @@
             continue;
         };
         log::info!(
-            node = shared.place.id.as_str(), standby = standby.as_str(), reason = lost:%;
+            node = shared.place.id.as_str(), standby = standby.as_str(), reason:% = lost;
             "standby link ended"
         );
         if lost == Lost::Stop {
@@ -46,13 +47,10 @@
 }
 
 /// Waits until the node has a parent or is a root; before that it does not know its standby.
-async fn wait_placed(shared: &Shared) {
-    let mut attachment = shared.attachment.subscribe();
-    let mut role = shared.role.subscribe();
-    // The senders live as long as `shared`, so the waits cannot fail.
+pub(crate) async fn wait_placed(shared: &Shared) {
     tokio::select! {
-        _ = attachment.wait_for(|attachment| matches!(attachment, Attachment::Attached(_))) => {}
-        _ = role.wait_for(|role| role.is_root(Instant::now())) => {}
+        _ = wait_for(&shared.attachment, |state| matches!(state, Attachment::Attached(_))) => {}
+        _ = wait_for(&shared.role, |role| role.is_root(Instant::now())) => {}
     }
 }
 
@@ -126,7 +124,12 @@
 /// Whether a standby at `theirs` has been ahead of `held` for [`LAG_LIMIT`]. `since` keeps the time
 /// at which it was first seen ahead.
 #[must_use]
-pub fn is_lagging(held: Version, theirs: Version, since: &mut Option<Instant>, now: Instant) -> bool {
+pub fn is_lagging(
+    held: Version,
+    theirs: Version,
+    since: &mut Option<Instant>,
+    now: Instant,
+) -> bool {
     if theirs <= held {
         *since = None;
         return false;
--- a/crates/spread/src/summary.rs
+++ b/crates/spread/src/summary.rs
@@ -1,3 +1,5 @@
+//! Versions held in a subtree.
+
 use std::collections::BTreeMap;
 
 use schema::control::DomainSummary;
@@ -19,7 +21,9 @@
             sums.entry(key).or_default().push((node, summary));
         }
     }
-    sums.values().filter_map(|parts| sum_domain(parts)).collect()
+    sums.values()
+        .filter_map(|parts| sum_domain(parts))
+        .collect()
 }
 
 fn sum_domain(parts: &[(&id::Node, &DomainSummary)]) -> Option<DomainSummary> {
--- a/crates/spread/src/traffic.rs
+++ b/crates/spread/src/traffic.rs
@@ -51,13 +51,15 @@
 
     pub(crate) fn read(&self) -> Vec<Traffic> {
         let counters = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let rows = counters.iter().map(|((kind, direction, region), count)| Traffic {
-            kind,
-            direction: *direction,
-            region: region.clone(),
-            messages: count.0,
-            bytes: Bytes::new(count.1),
-        });
+        let rows = counters
+            .iter()
+            .map(|((kind, direction, region), count)| Traffic {
+                kind,
+                direction: *direction,
+                region: region.clone(),
+                messages: count.0,
+                bytes: Bytes::new(count.1),
+            });
         rows.collect()
     }
 }
--- a/crates/spread/src/transfer.rs
+++ b/crates/spread/src/transfer.rs
@@ -1,3 +1,5 @@
+//! Version transfer in parts.
+
 use bundle::{Bundle, Delta};
 use schema::codec;
 use schema::control::Update;
--- a/crates/spread/src/witness.rs
+++ b/crates/spread/src/witness.rs
@@ -1,3 +1,5 @@
+//! Versions that other addresses have reported as held.
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -33,6 +35,13 @@
         self.held.get(address).map(|(version, _)| *version)
     }
 
+    /// Highest version that any address has reported.
+    #[must_use]
+    pub fn highest(&self) -> Version {
+        let versions = self.held.values().map(|(version, _)| *version);
+        versions.max().unwrap_or_default()
+    }
+
     fn drop_oldest(&mut self) {
         let oldest = self.held.iter().min_by_key(|(_, (_, seen))| *seen);
         if let Some(address) = oldest.map(|(address, _)| *address) {
