--- a/crates/standin/src/bin/standin-store.rs
+++ b/crates/standin/src/bin/standin-store.rs
@@ -27,10 +27,16 @@
     control: String,
     #[options(help = "time that each answer waits, in milliseconds", meta = "MS")]
     latency_ms: u32,
-    #[options(help = "reads allowed in one second; 0 for no limit", meta = "N")]
-    reads_per_second: u32,
-    #[options(help = "writes allowed in one second; 0 for no limit", meta = "N")]
-    writes_per_second: u32,
+    #[options(help = "reads allowed in one window; 0 for no limit", meta = "N")]
+    read_limit: u32,
+    #[options(help = "writes allowed in one window; 0 for no limit", meta = "N")]
+    write_limit: u32,
+    #[options(
+        help = "length of the window of the limits",
+        default = "1000",
+        meta = "MS"
+    )]
+    limit_window_ms: u32,
     #[options(
         help = "HTTP status for calls over a limit; 0 for 429",
         meta = "STATUS"
@@ -48,6 +54,8 @@
     stale_revisions: u32,
     #[options(help = "number of events that watches leave out", meta = "N")]
     skip_events: u32,
+    #[options(help = "number of messages that watches send twice", meta = "N")]
+    repeat_messages: u32,
     #[options(help = "answers are cut in the middle of their JSON")]
     damage_answers: bool,
 }
@@ -58,15 +66,17 @@
             .ok_or_else(|| format!("--outage: `{}` is not none, refuse or hang", self.outage))?;
         Ok(Faults {
             latency_ms: self.latency_ms,
-            reads_per_second: self.reads_per_second,
-            writes_per_second: self.writes_per_second,
+            read_limit: self.read_limit,
+            write_limit: self.write_limit,
             refusal_status: self.refusal_status,
             outage: outage.into(),
             lose_answers: self.lose_answers,
+            limit_window_ms: self.limit_window_ms,
             lose_silently: self.lose_silently,
             watch_silent: self.watch_silent,
             stale_revisions: self.stale_revisions,
             skip_events: self.skip_events,
+            repeat_messages: self.repeat_messages,
             damage_answers: self.damage_answers,
             ..Faults::default()
         })
@@ -95,7 +105,7 @@
     let store = Store::start(listen, control)
         .await
         .map_err(|e| e.to_string())?;
-    store.set_faults(faults);
+    store.set_faults(faults).await;
     println!(
         "store {} control {}",
         store.address(),
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -39,6 +39,8 @@
 /// Switch for the connections of one server.
 pub(crate) struct Gate {
     phase: watch::Sender<Phase>,
+    /// Phase that the listening socket has reached.
+    reached: watch::Sender<Phase>,
     hanging: AtomicBool,
     /// Connections with a lower number are silent for good.
     silent_below: AtomicU64,
@@ -49,14 +51,15 @@
     fn new() -> Self {
         Self {
             phase: watch::Sender::new(Phase::Open),
+            reached: watch::Sender::new(Phase::Open),
             hanging: AtomicBool::new(false),
             silent_below: AtomicU64::new(0),
             next_connection: AtomicU64::new(0),
         }
     }
 
-    /// Refuses connections and closes the open ones, or accepts them again.
-    pub(crate) fn refuse(&self, refuse: bool) {
+    /// Refuses connections and closes the open ones, or accepts them again. Returns when that is so.
+    pub(crate) async fn refuse(&self, refuse: bool) {
         let wanted = if refuse { Phase::Refusing } else { Phase::Open };
         self.phase.send_if_modified(|phase| {
             let changes = *phase != Phase::Closed && *phase != wanted;
@@ -65,6 +68,11 @@
             }
             changes
         });
+        let mut reached = self.reached.subscribe();
+        // The sender is in `self`, so this cannot fail.
+        let _ = reached
+            .wait_for(|phase| *phase == wanted || *phase == Phase::Closed)
+            .await;
     }
 
     /// Leaves every request without an answer, or answers those on new connections again.
@@ -187,17 +195,23 @@
     loop {
         accept(&listener, limits, &gate, &handle).await;
         let Ok(address) = listener.local_addr() else {
-            return;
+            break;
         };
         drop(listener);
+        gate.reached.send_replace(Phase::Refusing);
         if !wait_reopened(&mut phase).await {
-            return;
+            break;
         }
         match rebind(address).await {
             Ok(bound) => listener = bound,
-            Err(error) => return log::error!("listen again on {address}: {error}"),
+            Err(error) => {
+                log::error!("listen again on {address}: {error}");
+                break;
+            }
         }
+        gate.reached.send_replace(Phase::Open);
     }
+    gate.reached.send_replace(Phase::Closed);
 }
 
 /// Waits for the end of an outage; `false` when the gate is closed.
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -66,18 +66,17 @@
         }
     }
 
-    /// Reads a range, at `revision` when the request names none.
+    /// Reads a range as a store does whose newest revision is `newest`.
     pub(crate) fn range(
         &self,
         request: &RangeRequest,
-        revision: i64,
+        newest: i64,
     ) -> Result<RangeResponse, Refusal> {
-        let wanted = if request.revision > 0 {
-            request.revision
-        } else {
-            revision
+        let wanted = match request.revision {
+            0 => newest,
+            revision => revision,
         };
-        if wanted > self.revision {
+        if wanted > newest {
             return Err(Refusal::out_of_range(
                 "required revision is a future revision",
             ));
@@ -93,18 +92,20 @@
         } else {
             select(&self.keys_at(wanted), &span)
         };
-        Ok(self.listing(found, request.limit))
+        Ok(self.listing(found, request.limit, newest))
     }
 
-    fn listing(&self, mut found: Vec<KeyValue>, limit: i64) -> RangeResponse {
+    fn listing(&self, mut found: Vec<KeyValue>, limit: i64, newest: i64) -> RangeResponse {
         let count = found.len();
         let limit = usize::try_from(limit).unwrap_or(0);
         let more = limit > 0 && count > limit;
         if more {
             found.truncate(limit);
         }
+        let mut header = self.header();
+        header.revision = newest;
         RangeResponse {
-            header: Some(self.header()),
+            header: Some(header),
             kvs: found,
             more,
             count: i64::try_from(count).unwrap_or(i64::MAX),
@@ -323,6 +324,15 @@
         }
     }
 
+    /// Ends all leases.
+    pub(crate) fn lapse(&mut self) {
+        let ids: Vec<_> = self.leases.keys().copied().collect();
+        for id in ids {
+            // The lease was found above, so this cannot fail.
+            let _ = self.revoke(id);
+        }
+    }
+
     /// Earliest end of a lease.
     pub(crate) fn next_expiry(&self) -> Option<Instant> {
         self.leases.values().map(|lease| lease.expires).min()
--- a/crates/standin/src/store/fault.rs
+++ b/crates/standin/src/store/fault.rs
@@ -5,8 +5,8 @@
 
 use super::kind::Kind;
 
-/// Length of the window of the rate limits.
-const WINDOW: Duration = Duration::from_secs(1);
+/// Length of the window of the rate limits when the faults name none.
+const WINDOW_MS: u32 = 1000;
 
 /// Calls counted in one window.
 #[derive(Default)]
@@ -16,8 +16,8 @@
 }
 
 impl Window {
-    fn admit(&mut self, limit: u32, now: Instant) -> bool {
-        if self.start.is_none_or(|start| now >= start + WINDOW) {
+    fn admit(&mut self, limit: u32, length: Duration, now: Instant) -> bool {
+        if self.start.is_none_or(|start| now >= start + length) {
             self.start = Some(now);
             self.calls = 0;
         }
@@ -47,10 +47,15 @@
 
     /// Whether a call is within the rate limits.
     pub(crate) fn admit(&mut self, kind: Kind, now: Instant) -> bool {
+        let length = match self.faults.limit_window_ms {
+            0 => WINDOW_MS,
+            length => length,
+        };
+        let length = Duration::from_millis(length.into());
         if kind.is_write() {
-            self.writes.admit(self.faults.writes_per_second, now)
+            self.writes.admit(self.faults.write_limit, length, now)
         } else {
-            self.reads.admit(self.faults.reads_per_second, now)
+            self.reads.admit(self.faults.read_limit, length, now)
         }
     }
 
@@ -61,6 +66,13 @@
         lost
     }
 
+    /// Whether a watch sends its message again.
+    pub(crate) fn take_repeat(&mut self) -> bool {
+        let repeat = self.faults.repeat_messages > 0;
+        self.faults.repeat_messages -= u32::from(repeat);
+        repeat
+    }
+
     /// Number of events that a watch leaves out of `count`.
     pub(crate) fn take_skips(&mut self, count: usize) -> usize {
         let skipped = self
--- a/crates/standin/src/store/gateway.rs
+++ b/crates/standin/src/store/gateway.rs
@@ -39,6 +39,7 @@
     }
     let body = reply::read(request).await.map_err(|_| Cut)?;
     if kind == Kind::Watch {
+        delay(&shared).await;
         return Ok(match watch(&shared, connection, &body) {
             Ok(response) => response,
             Err(refusal) => refusal.response(),
@@ -89,7 +90,7 @@
     Ok(match done {
         Ok(mut text) => {
             if damaged {
-                text.truncate(text.len() / 2);
+                damage(&mut text);
             }
             reply::json_text(StatusCode::OK, text)
         }
@@ -97,6 +98,11 @@
     })
 }
 
+/// Cuts a JSON text in the middle.
+pub(crate) fn damage(text: &mut Vec<u8>) {
+    text.truncate(text.len() / 2);
+}
+
 /// Runs a call that has a single answer; returns its JSON.
 fn run(shared: &Shared, kind: Kind, body: &[u8]) -> Result<Vec<u8>, Refusal> {
     match kind {
@@ -195,7 +201,7 @@
             let body = reply::read(request).await.map_err(|_| Cut)?;
             Ok(match reply::parse(&body) {
                 Ok(faults) => {
-                    set_faults(&shared, &gate, faults);
+                    set_faults(&shared, &gate, faults).await;
                     reply::text(StatusCode::OK, "")
                 }
                 Err(error) => reply::text(StatusCode::BAD_REQUEST, error.to_string()),
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -156,9 +156,9 @@
         self.control.address()
     }
 
-    /// Replaces the faults in force.
-    pub fn set_faults(&self, faults: Faults) {
-        set_faults(&self.shared, self.server.gate(), faults);
+    /// Replaces the faults in force. They are in force when this returns.
+    pub async fn set_faults(&self, faults: Faults) {
+        set_faults(&self.shared, self.server.gate(), faults).await;
     }
 
     /// Calls that arrived so far.
@@ -181,7 +181,7 @@
 }
 
 /// Puts faults in force.
-fn set_faults(shared: &Shared, gate: &Gate, faults: Faults) {
+async fn set_faults(shared: &Shared, gate: &Gate, faults: Faults) {
     let outage = faults.outage();
     if faults.silence_connections {
         gate.silence();
@@ -190,7 +190,10 @@
         let before = i64::from(faults.compact_before);
         shared.change(|data, _| data.compact(before - 1));
     }
+    if faults.lapse_leases {
+        shared.change(|data, _| data.lapse());
+    }
     shared.lock().faults.set(faults);
     gate.hang(outage == Outage::Hang);
-    gate.refuse(outage == Outage::Refuse);
+    gate.refuse(outage == Outage::Refuse).await;
 }
--- a/crates/standin/src/store/watch.rs
+++ b/crates/standin/src/store/watch.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch as channel;
 
 use super::Shared;
+use super::gateway::damage;
 use super::span::Span;
 use crate::server::Connection;
 
@@ -58,7 +59,8 @@
         unfold(self, |mut watch| async move {
             let message = watch.next().await?;
             watch.connection.wait_audible().await;
-            Some((print(message), watch))
+            let damaged = watch.shared.lock().faults.faults().damage_answers;
+            Some((print(message, damaged), watch))
         })
     }
 
@@ -108,7 +110,9 @@
             });
         }
         let mut events: Vec<Event> = inner.data.events(&self.span, self.next);
-        self.next = self.next.max(inner.data.revision() + 1);
+        if events.is_empty() || !inner.faults.take_repeat() {
+            self.next = self.next.max(inner.data.revision() + 1);
+        }
         let skipped = inner.faults.take_skips(events.len());
         events.drain(..skipped);
         (!events.is_empty()).then(|| WatchResponse {
@@ -119,12 +123,15 @@
     }
 }
 
-fn print(message: WatchResponse) -> io::Result<Bytes> {
+fn print(message: WatchResponse, damaged: bool) -> io::Result<Bytes> {
     let wrapped = WatchStream {
         result: Some(message),
         error: None,
     };
     let mut text = serde_json::to_vec(&wrapped)?;
+    if damaged {
+        damage(&mut text);
+    }
     text.push(b'\n');
     Ok(text.into())
 }
--- a/crates/store/src/ledger.rs
+++ b/crates/store/src/ledger.rs
@@ -57,8 +57,11 @@
             return false;
         }
         match (&event.change, seen) {
-            (Change::Put(value), Some(seen)) => value.version == seen.version + 1,
-            (Change::Put(value), None) => value.version == 1 || value.create_revision < self.from,
+            (Change::Put(value), _) if value.version == 1 => seen.is_none_or(|s| s.version == 0),
+            (Change::Put(value), Some(seen)) => {
+                value.version == seen.version + 1 && value.create_revision <= seen.revision
+            }
+            (Change::Put(value), None) => value.create_revision < self.from,
             (Change::Delete, Some(seen)) => seen.version > 0,
             (Change::Delete, None) => true,
         }
--- /dev/null
+++ b/crates/store/tests/faults.rs
@@ -0,0 +1,418 @@
+//! Every operation of the client under every fault of the store.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use standin::store::Store as Standin;
+use standin::{Faults, Outage};
+use store::{Compare, Error, Kind, Lease, Operation, Revision, Span, Store, Txn};
+use types::Deadline;
+
+/// Longest time for a call, as in the design.
+const LIMIT_MS: u64 = 2000;
+
+fn soon() -> Deadline {
+    Deadline::after_ms(5000)
+}
+
+fn url(standin: &Standin) -> store::Url {
+    standin.url().parse().unwrap()
+}
+
+/// Store with `k` changed twice and the key `leased` on a lease.
+struct Fixture {
+    standin: Standin,
+    store: Store,
+    lease: Lease,
+    revision: Revision,
+}
+
+impl Fixture {
+    async fn new() -> Self {
+        let standin = Standin::start_local().await.unwrap();
+        let store = Store::new(vec![url(&standin)]).unwrap();
+        store.put("k", b"old".into(), None, soon()).await.unwrap();
+        store.put("k", b"new".into(), None, soon()).await.unwrap();
+        let lease = store.grant(Duration::from_mins(10), soon()).await.unwrap();
+        let put = store.put("leased", vec![], Some(lease), soon());
+        let revision = put.await.unwrap();
+        Self {
+            standin,
+            store,
+            lease,
+            revision,
+        }
+    }
+
+    /// Runs one operation of a kind; returns the value for a read of `k`.
+    async fn run(&self, kind: Kind, deadline: Deadline) -> Result<Option<Vec<u8>>, Error> {
+        let (store, k) = (&self.store, || Span::Key("k".into()));
+        match kind {
+            Kind::Range => return Ok(store.get("k", deadline).await?.map(|value| value.bytes)),
+            Kind::Put => drop(store.put("k", vec![], None, deadline).await?),
+            Kind::Delete => drop(store.delete(&k(), deadline).await?),
+            Kind::Txn => drop(
+                store
+                    .txn(
+                        Txn::new().with_then(Operation::Delete("k".into())),
+                        deadline,
+                    )
+                    .await?,
+            ),
+            Kind::Grant => drop(store.grant(Duration::from_mins(10), deadline).await?),
+            Kind::KeepAlive => drop(store.keep_alive(self.lease, deadline).await?),
+            Kind::Revoke => store.revoke(self.lease, deadline).await?,
+            Kind::Watch => drop(store.watch(&k(), Revision::NONE, deadline).await?),
+        }
+        Ok(None)
+    }
+
+    /// Number of changes since the start.
+    async fn changes(&self) -> i64 {
+        let fresh = Store::new(vec![url(&self.standin)]).unwrap();
+        let listing = fresh.range(&Span::Key("k".into()), soon()).await.unwrap();
+        listing.revision.get() - self.revision.get()
+    }
+
+    /// Calls of a kind that reached the store.
+    fn arrived(&self, kind: Kind) -> u32 {
+        let counters = self.standin.counters();
+        match kind {
+            Kind::Range => counters.range,
+            Kind::Put => counters.put,
+            Kind::Delete => counters.delete_range,
+            Kind::Txn => counters.txn,
+            Kind::Grant => counters.grant,
+            Kind::KeepAlive => counters.keep_alive,
+            Kind::Revoke => counters.revoke,
+            Kind::Watch => counters.watch,
+        }
+    }
+}
+
+/// Changes that an operation makes when it takes effect once.
+fn changes_of(kind: Kind) -> i64 {
+    i64::from(matches!(
+        kind,
+        Kind::Put | Kind::Delete | Kind::Txn | Kind::Revoke
+    ))
+}
+
+/// Expected result of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Expect {
+    Done,
+    NotSent,
+    Lost,
+    Refused(u16),
+    Ended,
+}
+
+fn classify<T>(result: &Result<T, Error>) -> Expect {
+    match result {
+        Ok(_) => Expect::Done,
+        Err(Error::NotSent(_)) => Expect::NotSent,
+        Err(Error::AnswerLost(_)) => Expect::Lost,
+        Err(Error::Refused { status, .. }) => Expect::Refused(*status),
+        Err(Error::WatchEnded(_)) => Expect::Ended,
+        Err(other) => panic!("unexpected {other}"),
+    }
+}
+
+/// Fault with the results that a read, a write and the opening of a watch must have, and whether a
+/// write takes effect.
+struct Case {
+    name: &'static str,
+    faults: Faults,
+    read: Expect,
+    write: Expect,
+    watch: Expect,
+    effect: bool,
+}
+
+fn case(
+    name: &'static str,
+    [read, write, watch]: [Expect; 3],
+    effect: bool,
+    faults: Faults,
+) -> Case {
+    Case {
+        name,
+        faults,
+        read,
+        write,
+        watch,
+        effect,
+    }
+}
+
+fn cases() -> Vec<Case> {
+    use Expect::{Done, Ended, Lost, NotSent, Refused};
+    let none = Faults::default;
+    let (refuse, hang) = (Outage::Refuse.into(), Outage::Hang.into());
+    let limits = Faults {
+        read_limit: 1,
+        write_limit: 1,
+        limit_window_ms: 600_000,
+        ..none()
+    };
+    vec![
+        case("no fault", [Done; 3], true, none()),
+        case(
+            "refused connection",
+            [NotSent; 3],
+            false,
+            Faults {
+                outage: refuse,
+                ..none()
+            },
+        ),
+        case(
+            "silent store",
+            [Lost; 3],
+            false,
+            Faults {
+                outage: hang,
+                ..none()
+            },
+        ),
+        case(
+            "lost answer, closed",
+            [Done, Lost, Done],
+            true,
+            Faults {
+                lose_answers: 1,
+                ..none()
+            },
+        ),
+        case(
+            "lost answer, silent",
+            [Done, Lost, Done],
+            true,
+            Faults {
+                lose_answers: 1,
+                lose_silently: true,
+                ..none()
+            },
+        ),
+        case(
+            "slow answer",
+            [Lost; 3],
+            true,
+            Faults {
+                latency_ms: 60_000,
+                ..none()
+            },
+        ),
+        case(
+            "stale answer",
+            [Done; 3],
+            true,
+            Faults {
+                stale_revisions: 2,
+                ..none()
+            },
+        ),
+        case(
+            "damaged JSON",
+            [Lost, Lost, Ended],
+            true,
+            Faults {
+                damage_answers: true,
+                ..none()
+            },
+        ),
+        case("over the limit, 429", [Refused(429); 3], false, limits),
+        case(
+            "over the limit, 503",
+            [Refused(503), Lost, Refused(503)],
+            false,
+            Faults {
+                refusal_status: 503,
+                ..limits
+            },
+        ),
+    ]
+}
+
+/// Guards against an error that hides whether a write took effect, a write that is sent twice, and a
+/// call that outlives its deadline or leaves the client unusable.
+#[tokio::test]
+async fn each_operation_tells_what_is_known() {
+    for case in cases() {
+        let runs = Kind::ALL.map(async |kind| check(&case, kind).await);
+        join(runs).await;
+    }
+}
+
+/// Runs the operations of a case at the same time, since many wait for their deadline.
+async fn join<F: Future<Output = ()>>(runs: [F; Kind::ALL.len()]) {
+    let [a, b, c, d, e, f, g, h] = runs;
+    tokio::join!(a, b, c, d, e, f, g, h);
+}
+
+async fn check(case: &Case, kind: Kind) {
+    let name = format!("{}, {kind}", case.name);
+    let fixture = Fixture::new().await;
+    let before = fixture.arrived(kind);
+    fixture.standin.set_faults(case.faults).await;
+    if case.faults.write_limit > 0 {
+        // Takes the one call of each sort that is within the limit.
+        let _ = fixture.run(Kind::Range, soon()).await;
+        let _ = fixture.run(Kind::KeepAlive, soon()).await;
+    }
+    let spent = fixture.arrived(kind) - before;
+    let result = fixture.run(kind, Deadline::after_ms(LIMIT_MS)).await;
+    let (expected, writes) = match kind {
+        Kind::Range => (case.read, false),
+        Kind::Watch => (case.watch, false),
+        _ => (case.write, true),
+    };
+    assert_eq!(classify(&result), expected, "{name}: {result:?}");
+    let arrivals = fixture.arrived(kind) - before - spent;
+    fixture.standin.set_faults(Faults::default()).await;
+    let silent = case.faults.outage() != Outage::None;
+    assert_eq!(
+        arrivals,
+        u32::from(!silent),
+        "{name}: calls that reached the store"
+    );
+    if kind == Kind::Range && expected == Expect::Done {
+        let stale = case.faults.stale_revisions > 0;
+        let value: &[u8] = if stale { b"old" } else { b"new" };
+        assert_eq!(result.unwrap().as_deref(), Some(value), "{name}");
+    }
+    let effect = if writes && case.effect {
+        changes_of(kind)
+    } else {
+        0
+    };
+    assert_eq!(
+        fixture.changes().await,
+        effect,
+        "{name}: effect on the store"
+    );
+    let again = fixture.run(Kind::Range, soon()).await;
+    assert!(
+        again.is_ok(),
+        "{name}: the client does not recover: {again:?}"
+    );
+}
+
+/// Guards against a write that is sent to a second address after the first may have run it, and
+/// against a store that is given up while another address works.
+#[tokio::test]
+async fn next_address_is_tried_only_when_that_is_safe() {
+    for outage in [Outage::Refuse, Outage::Hang] {
+        join(Kind::ALL.map(async |kind| check_next_address(outage, kind).await)).await;
+    }
+}
+
+async fn check_next_address(outage: Outage, kind: Kind) {
+    let mut fixture = Fixture::new().await;
+    let first = Standin::start_local().await.unwrap();
+    let faults = Faults {
+        outage: outage.into(),
+        ..Faults::default()
+    };
+    first.set_faults(faults).await;
+    fixture.store = Store::new(vec![url(&first), url(&fixture.standin)]).unwrap();
+    let before = fixture.arrived(kind);
+    let moves_on = outage == Outage::Refuse || matches!(kind, Kind::Range | Kind::Watch);
+    let result = fixture.run(kind, Deadline::after_ms(LIMIT_MS)).await;
+    let expected = if moves_on { Expect::Done } else { Expect::Lost };
+    assert_eq!(
+        classify(&result),
+        expected,
+        "{outage:?}, {kind}: {result:?}"
+    );
+    let sent = fixture.arrived(kind) - before;
+    assert_eq!(sent, u32::from(moves_on), "{outage:?}, {kind}");
+}
+
+/// Guards against a pooled connection that went silent and is used again, and against a write that
+/// waits on one.
+#[tokio::test]
+async fn silent_connection_is_not_used_again() {
+    let fixture = Fixture::new().await;
+    fixture.run(Kind::Range, soon()).await.unwrap();
+    fixture
+        .standin
+        .set_faults(Faults {
+            silence_connections: true,
+            ..Faults::default()
+        })
+        .await;
+    fixture.run(Kind::Put, soon()).await.unwrap();
+    let silent = fixture.run(Kind::Range, Deadline::after_ms(LIMIT_MS)).await;
+    assert_eq!(classify(&silent), Expect::Lost);
+    fixture.run(Kind::Range, soon()).await.unwrap();
+}
+
+/// Guards against a call that is sent after its deadline.
+#[tokio::test]
+async fn passed_deadline_sends_nothing() {
+    let fixture = Fixture::new().await;
+    for kind in Kind::ALL {
+        let before = fixture.arrived(kind);
+        let result = fixture.run(kind, Deadline::after_ms(0)).await;
+        assert_eq!(classify(&result), Expect::NotSent, "{kind}");
+        assert_eq!(fixture.arrived(kind), before, "{kind}");
+    }
+}
+
+/// Guards against a holder that believes in a lease which lapsed while it was paused.
+#[tokio::test]
+async fn lapsed_lease_is_reported_by_each_operation() {
+    let fixture = Fixture::new().await;
+    fixture
+        .standin
+        .set_faults(Faults {
+            lapse_leases: true,
+            ..Faults::default()
+        })
+        .await;
+    assert_eq!(
+        fixture.run(Kind::KeepAlive, soon()).await,
+        Err(Error::LeaseLapsed)
+    );
+    assert_eq!(
+        fixture.run(Kind::Revoke, soon()).await,
+        Err(Error::LeaseLapsed)
+    );
+    let (lease, key) = (Some(fixture.lease), "leased".to_owned());
+    let put = fixture.store.put(&key, vec![], lease, soon()).await;
+    assert_eq!(classify(&put), Expect::Refused(404));
+    let operation = Operation::Put {
+        key,
+        bytes: vec![],
+        lease,
+    };
+    let txn = fixture
+        .store
+        .txn(Txn::new().with_then(operation), soon())
+        .await;
+    assert_eq!(classify(&txn), Expect::Refused(404));
+    assert_eq!(fixture.store.get("leased", soon()).await, Ok(None));
+}
+
+/// Guards against a transaction that writes although a comparison does not hold.
+#[tokio::test]
+async fn failed_compare_changes_nothing() {
+    let fixture = Fixture::new().await;
+    for compare in [
+        Compare::Absent("k".into()),
+        Compare::Unchanged("k".into(), fixture.revision),
+        Compare::Unchanged("k".into(), Revision::NONE),
+        Compare::Equal("k".into(), b"old".into()),
+        Compare::Equal("absent".into(), vec![]),
+    ] {
+        let txn = Txn::new().with_compare(compare.clone());
+        let txn = txn.with_compare(Compare::Equal("k".into(), b"new".into()));
+        let txn = txn.with_then(Operation::Delete("k".into()));
+        let reply = fixture.store.txn(txn, soon()).await.unwrap();
+        assert!(!reply.succeeded && reply.replies.is_empty(), "{compare:?}");
+        assert_eq!(fixture.changes().await, 0, "{compare:?}");
+    }
+}
