--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -8,10 +8,10 @@
 use types::{Deadline, Outcome, id};
 
 use crate::exchange::exchange;
-use crate::held::Held;
 use crate::in_flight::{InFlight, Targets};
 use crate::job::Job;
 use crate::ledger::Ledger;
+use crate::payload::Payload;
 use crate::pool::Pool;
 use crate::reply::Reply;
 use crate::{Accounts, Answer, Failure, Mesh, Request, Target};
@@ -97,8 +97,8 @@
         }
         let plan = find(routes, &request)?;
         let owner = ledger.set_plan(&plan);
-        let (job, held) = prepare(routes, &plan, owner, request).await?;
-        self.try_targets(&plan, &job, &held).await
+        let (job, payload) = prepare(routes, &plan, owner, request).await?;
+        self.try_targets(&plan, &job, &payload).await
     }
 
     /// Sends the call to one target after another, within the attempts, the budget and the deadline.
@@ -106,7 +106,7 @@
         &self,
         plan: &Plan,
         job: &Job,
-        held: &Held,
+        payload: &Payload,
     ) -> Result<(Reply, InFlight), Failure> {
         let candidates = self.mesh.targets(&plan.service);
         let mut tried = Vec::new();
@@ -123,13 +123,13 @@
             );
             let Some(choice) = choice else { break };
             if let Some(last) = &failure
-                && !(may_repeat(last, job, held) && self.try_retry(plan))
+                && !(may_repeat(last, job, payload) && self.try_retry(plan))
             {
                 break;
             }
             tried.push(choice.candidate.node.clone());
             log_choice(&choice, job, tried.len());
-            match self.attempt(&choice, job, held).await {
+            match self.attempt(&choice, job, payload).await {
                 Ok(answer) => return Ok(answer),
                 Err(next) => failure = Some(combine(failure, next)),
             }
@@ -142,15 +142,15 @@
         &self,
         choice: &Choice,
         job: &Job,
-        held: &Held,
+        payload: &Payload,
     ) -> Result<(Reply, InFlight), Failure> {
         let node = &choice.candidate.node;
         let in_flight = self.targets.start(node);
         let result = if *node == self.place.node {
-            self.target.run(job.clone(), held.clone()).await
+            self.target.run(job.clone(), payload.clone()).await
         } else {
             match self.pool.get(choice.candidate.address, job.deadline).await {
-                Ok(connection) => exchange(&connection, job, held).await,
+                Ok(connection) => exchange(&connection, job, payload).await,
                 Err(error) => Err(Failure::mesh(format!(
                     "link failed before hand-over: {error}"
                 ))),
@@ -217,24 +217,22 @@
     plan: &Plan,
     owner: id::Owner,
     request: Request,
-) -> Result<(Job, Held), Failure> {
+) -> Result<(Job, Payload), Failure> {
     let longest = Deadline::after(plan.deadline);
     let deadline = request.deadline.map_or(longest, |set| set.min(longest));
     if deadline.has_passed(Instant::now()) {
         let reason = "no time left on arrival";
         return Err(Failure::caller(StatusCode::GATEWAY_TIMEOUT, reason));
     }
-    let reading = timeout_at(deadline.instant(), Held::read(request.body)).await;
-    let held = match reading {
-        Ok(held) => held.map_err(|error| {
-            let reason = format!("request body broke off: {error}");
-            Failure::caller(StatusCode::BAD_REQUEST, reason)
-        })?,
-        Err(_) => {
-            let reason = "request body did not arrive by the deadline";
-            return Err(Failure::caller(StatusCode::REQUEST_TIMEOUT, reason));
-        }
+    let reading = Payload::read(request.body);
+    let Ok(payload) = timeout_at(deadline.instant(), reading).await else {
+        let reason = "request body did not arrive by the deadline";
+        return Err(Failure::caller(StatusCode::REQUEST_TIMEOUT, reason));
     };
+    let payload = payload.map_err(|error| {
+        let reason = format!("request body broke off: {error}");
+        Failure::caller(StatusCode::BAD_REQUEST, reason)
+    })?;
     let job = Job {
         request: request.id,
         owner,
@@ -248,18 +246,18 @@
         key: request.idempotency_key,
         version: routes.version(),
     };
-    Ok((job, held))
+    Ok((job, payload))
 }
 
 /// Whether a call may be sent again after a failure.
-fn may_repeat(failure: &Failure, job: &Job, held: &Held) -> bool {
+fn may_repeat(failure: &Failure, job: &Job, payload: &Payload) -> bool {
     let safe = match failure.outcome {
         Outcome::NotRun => true,
         Outcome::Unknown => job.repeatable,
         Outcome::Ran => false,
     };
     safe && failure.fault != types::Fault::Caller
-        && held.is_complete()
+        && payload.is_complete()
         && !job.deadline.has_passed(Instant::now())
 }
 
--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -9,9 +9,9 @@
 use types::{Deadline, Fault, id};
 use wire::{Connection, Error, Part, Receiver, Sender, Stream};
 
-use crate::held::Held;
 use crate::job::Job;
 use crate::message::{self, message};
+use crate::payload::Payload;
 use crate::reply::Reply;
 use crate::{Cut, Failure, Upload};
 
@@ -31,7 +31,7 @@
 pub(crate) async fn exchange(
     connection: &Connection,
     job: &Job,
-    held: &Held,
+    payload: &Payload,
 ) -> Result<Reply, Failure> {
     let grace = Deadline::new(job.deadline.instant() + REPORT_GRACE);
     let Stream {
@@ -50,7 +50,7 @@
         Ok(sent) => sent.map_err(|error| link_lost(&error))?,
         Err(_) => return Err(silent()),
     };
-    link.upload = Some(Box::pin(send_body(sender, held.stream())));
+    link.upload = Some(Box::pin(send_body(sender, payload.stream())));
     match timeout_at(grace.instant(), link.next()).await {
         Ok(Ok(Event::Answer(head))) => reply(head, link),
         Ok(Ok(Event::Failure(failure))) => Err(failure),
--- a/crates/call/src/job.rs
+++ b/crates/call/src/job.rs
@@ -62,4 +62,4 @@
 }
 
 /// Longest time that a call from another node may ask for. It bounds what a damaged head holds.
-const DEADLINE_LIMIT: Duration = Duration::from_secs(24 * 60 * 60);
+const DEADLINE_LIMIT: Duration = Duration::from_hours(24);
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -1,4 +1,45 @@
-//! The call path.
+//! The path of a call: from the caller's node to the upstream and back.
+//!
+//! - [`Caller`] takes a [`Request`], finds its route, chooses a target and returns an [`Answer`]. It
+//!   sends the call over [`wire`], or hands it to its own [`Target`].
+//! - [`Target`] stands beside an upstream: it admits calls, sends them on by HTTP and streams the
+//!   answer back. The upstream makes itself known by an [`Announcement`].
+//! - [`Accounts`] keep counters and the last failures of each owner.
+//! - [`Mesh`] is the view of configuration and membership that both sides need.
+//!
+//! Every answer says what is known about the run. `not-run` is said only when the node beside the
+//! upstream says so or the head of the call was never sent.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use std::time::Duration;
+//!
+//! use bundle::Bundle;
+//! use call::{Accounts, Caller, Mesh, Request, Target};
+//! use http::Method;
+//! use route::Place;
+//! use types::{Fault, Outcome};
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> Result<(), types::id::Invalid> {
+//! let bundle = Arc::new(Bundle::empty());
+//! let mesh = Mesh::new(move || Arc::clone(&bundle), |_| Vec::new(), || true);
+//! let target = Target::new(mesh.clone(), None);
+//! let place = Place {
+//!     node: "node-1".parse()?,
+//!     region: "north".parse()?,
+//!     domain: "north-a".parse()?,
+//! };
+//! let accounts = Arc::new(Accounts::new());
+//! let caller = Caller::new(place, mesh, target, accounts, Duration::from_secs(60));
+//!
+//! let request = Request::new("request-1".parse()?, Method::GET, "/renewals/7");
+//! let answer = caller.call(request).await;
+//! assert_eq!(answer.status, 404);
+//! assert_eq!((answer.outcome, answer.fault), (Outcome::NotRun, Fault::Caller));
+//! # Ok(())
+//! # }
+//! ```
 
 mod accounts;
 mod announcement;
@@ -8,7 +49,6 @@
 mod exchange;
 mod failure;
 mod gate;
-mod held;
 mod in_flight;
 mod job;
 mod ledger;
@@ -16,6 +56,7 @@
 mod mesh;
 mod message;
 mod once;
+mod payload;
 mod pool;
 mod reply;
 mod request;
--- a/crates/call/src/mesh.rs
+++ b/crates/call/src/mesh.rs
@@ -5,6 +5,9 @@
 use route::{Candidate, Routes};
 use types::id;
 
+/// Looks up the ready targets of a service.
+type Lookup = dyn Fn(&id::Service) -> Vec<Candidate> + Send + Sync;
+
 /// View of the mesh that the call path needs: the configuration in force, the targets of a service
 /// and whether the node may serve.
 ///
@@ -12,7 +15,7 @@
 #[derive(Clone)]
 pub struct Mesh {
     bundle: Arc<dyn Fn() -> Arc<Bundle> + Send + Sync>,
-    targets: Arc<dyn Fn(&id::Service) -> Vec<Candidate> + Send + Sync>,
+    targets: Arc<Lookup>,
     ready: Arc<dyn Fn() -> bool + Send + Sync>,
     routes: Arc<ArcSwapOption<Routes>>,
 }
--- a/crates/call/src/once.rs
+++ b/crates/call/src/once.rs
@@ -20,11 +20,11 @@
 const CREATE_ATTEMPTS: u32 = 3;
 
 /// Time to live of the lease that records are attached to.
-const LEASE_TTL: Duration = Duration::from_secs(24 * 60 * 60);
+const LEASE_TTL: Duration = Duration::from_hours(24);
 
 /// Time for which one lease takes new records. One lease for many keys keeps a keyed call at two
 /// writes; a record lives 23 to 24 hours.
-const LEASE_SHARED: Duration = Duration::from_secs(60 * 60);
+const LEASE_SHARED: Duration = Duration::from_hours(1);
 
 /// Largest answer that is recorded, in bytes.
 pub(crate) const ANSWER_LIMIT: usize = 16 * 1024;
--- a/crates/call/src/held.rs
+++ b/crates/call/src/payload.rs
@@ -6,19 +6,19 @@
 
 use crate::Upload;
 
-/// Bytes of a request body that are held, so that the call can be sent again and so that a slow
+/// Bytes of a request body that are kept in memory, so that the call can be sent again and a slow
 /// caller does not hold a slot.
-const HELD_LIMIT: usize = 64 * 1024;
+const PAYLOAD_LIMIT: usize = 64 * 1024;
 
 /// Request body: its first part in memory and, for a long one, the rest as it comes.
 #[derive(Clone)]
-pub(crate) struct Held {
+pub(crate) struct Payload {
     parts: Arc<[Bytes]>,
     /// `None` when the parts are the whole body; the inner option is empty once the rest was taken.
     rest: Option<Arc<Mutex<Option<Upload>>>>,
 }
 
-impl Held {
+impl Payload {
     /// Reads a body up to its end or the limit.
     ///
     /// # Errors
@@ -27,7 +27,7 @@
     pub(crate) async fn read(mut upload: Upload) -> Result<Self, io::Error> {
         let mut parts = Vec::new();
         let mut length = 0;
-        while length < HELD_LIMIT {
+        while length < PAYLOAD_LIMIT {
             match upload.next().await {
                 Some(part) => {
                     let part = part?;
--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -8,10 +8,10 @@
 use types::{Fault, Outcome};
 
 use crate::gate::Permit;
-use crate::held::Held;
 use crate::job::Job;
 use crate::local::Local;
 use crate::once::{ANSWER_LIMIT, Claim, Once, Permission};
+use crate::payload::Payload;
 use crate::reply::Reply;
 use crate::upstream::{self, SendError};
 use crate::{Cut, Failure, message};
@@ -40,10 +40,10 @@
     }
 
     /// Runs the call, under a claim when it has an idempotency key and must not be repeated.
-    pub(crate) async fn start(mut self, held: Held) -> Result<Reply, Failure> {
+    pub(crate) async fn start(mut self, payload: Payload) -> Result<Reply, Failure> {
         let key = self.job.key.clone().filter(|_| !self.job.repeatable);
         let Some(key) = key else {
-            let response = self.send(&held).await?;
+            let response = self.send(&payload).await?;
             return Ok(self.reply(response, None));
         };
         let once = self
@@ -62,7 +62,7 @@
                 ));
             }
         };
-        match self.send(&held).await {
+        match self.send(&payload).await {
             Ok(response) => {
                 let record = Recording::new(once, claim, &response);
                 Ok(self.reply(response, Some(record)))
@@ -79,13 +79,13 @@
     }
 
     /// Sends the request once and takes the head of the answer.
-    async fn send(&mut self, held: &Held) -> Result<Response, Failure> {
+    async fn send(&mut self, payload: &Payload) -> Result<Response, Failure> {
         if self.job.deadline.has_passed(Instant::now()) {
             let failure = Failure::service(&self.job.service, "deadline passed before hand-over");
             return Err(failure.with_load(self.local.gate.load()));
         }
         self.permit.hand_over();
-        let response = match self.local.upstream.send(&self.job, held).await {
+        let response = match self.local.upstream.send(&self.job, payload).await {
             Ok(response) => response,
             Err(error) => return Err(self.failure(error)),
         };
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -9,9 +9,9 @@
 use types::Deadline;
 use wire::{Error, Part, Receiver, Sender, Stream};
 
-use crate::held::Held;
 use crate::job::Job;
 use crate::message::{self, message};
+use crate::payload::Payload;
 use crate::reply::Reply;
 use crate::{Failure, Target, Upload};
 
@@ -68,9 +68,9 @@
     }
 
     async fn receive_and_run(&self, job: Job, receiver: Receiver) -> Result<Reply, Failure> {
-        let reading = Held::read(upload(receiver));
+        let reading = Payload::read(upload(receiver));
         match timeout_at(job.deadline.instant(), reading).await {
-            Ok(Ok(held)) => self.run(job, held).await,
+            Ok(Ok(payload)) => self.run(job, payload).await,
             Ok(Err(error)) => Err(Failure::caller(
                 StatusCode::BAD_REQUEST,
                 format!("request body broke off: {error}"),
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -10,10 +10,10 @@
 use types::Deadline;
 
 use crate::gate::Gate;
-use crate::held::Held;
 use crate::job::Job;
 use crate::local::{Local, PROBE_INTERVAL};
 use crate::once::Once;
+use crate::payload::Payload;
 use crate::reply::Reply;
 use crate::run::Run;
 use crate::upstream::Upstream;
@@ -106,7 +106,7 @@
     ///
     /// Returns a failure with outcome `not-run` only when nothing was sent to the upstream, or the
     /// upstream refused the call itself.
-    pub(crate) async fn run(&self, job: Job, held: Held) -> Result<Reply, Failure> {
+    pub(crate) async fn run(&self, job: Job, payload: Payload) -> Result<Reply, Failure> {
         let local = self.admit(&job)?;
         let permit = match local.gate.enter(job.deadline).await {
             Ok(permit) => permit,
@@ -116,7 +116,7 @@
             }
         };
         let once = self.0.once.clone();
-        Run::new(job, local, permit, once).start(held).await
+        Run::new(job, local, permit, once).start(payload).await
     }
 
     /// Checks what does not depend on the load.
--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -12,8 +12,8 @@
 use types::{Deadline, size};
 
 use crate::exchange::HOP_MARGIN;
-use crate::held::Held;
 use crate::job::Job;
+use crate::payload::Payload;
 
 /// Longest time to connect to an upstream, which is on the same instance or beside it.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
@@ -85,7 +85,7 @@
     }
 
     /// Sends a call once and waits for the head of the answer.
-    pub(crate) async fn send(&self, job: &Job, held: &Held) -> Result<Response, SendError> {
+    pub(crate) async fn send(&self, job: &Job, payload: &Payload) -> Result<Response, SendError> {
         let url = Url::parse(&format!("http://{}{}", self.address, job.target))
             .map_err(|error| SendError::Invalid(error.to_string()))?;
         let client = if job.repeatable {
@@ -95,8 +95,8 @@
         };
         let request = client
             .request(job.method.clone(), url)
-            .headers(request_headers(job, held, Instant::now()));
-        let request = match body(held) {
+            .headers(request_headers(job, payload, Instant::now()));
+        let request = match body(payload) {
             Some(body) => request.body(body),
             None => request,
         };
@@ -142,17 +142,17 @@
 }
 
 /// Body of a request; `None` when it is empty.
-fn body(held: &Held) -> Option<Body> {
-    match held.whole() {
+fn body(payload: &Payload) -> Option<Body> {
+    match payload.whole() {
         Some([]) => None,
         Some([part]) => Some(Body::from(part.clone())),
-        Some(_) | None => Some(Body::wrap_stream(held.stream())),
+        Some(_) | None => Some(Body::wrap_stream(payload.stream())),
     }
 }
 
-fn request_headers(job: &Job, held: &Held, now: Instant) -> HeaderMap {
+fn request_headers(job: &Job, payload: &Payload, now: Instant) -> HeaderMap {
     let mut headers = without_hop_headers(job.headers.clone());
-    if let Some(parts) = held.whole() {
+    if let Some(parts) = payload.whole() {
         headers.remove(header::CONTENT_LENGTH);
         if parts.len() > 1 {
             let length: usize = parts.iter().map(bytes::Bytes::len).sum();
--- /dev/null
+++ b/crates/call/tests/support/mod.rs
@@ -0,0 +1,191 @@
+//! Mesh of a few nodes in one process, with real sockets between them and upstreams with faults.
+#![allow(
+    dead_code,
+    unused_imports,
+    clippy::unwrap_used,
+    clippy::missing_panics_doc
+)]
+
+mod relay;
+mod upstream;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bundle::{Bundle, Reach, Service};
+use call::{Accounts, Announcement, Answer, Caller, Mesh, Request, Target};
+use http::Method;
+use route::{Candidate, Place};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use types::rate::Percent;
+use types::{Deadline, Timestamp, Version, id, size};
+
+pub use relay::{Link, Relay};
+pub use upstream::{Behaviour, Upstream};
+
+pub const SERVICE: &str = "renewals";
+
+/// Configuration and membership that all nodes of a test see.
+pub struct World {
+    pub bundle: ArcSwap<Bundle>,
+    pub candidates: Mutex<Vec<Candidate>>,
+}
+
+pub struct Node {
+    pub caller: Caller,
+    pub target: Target,
+    pub accounts: Arc<Accounts>,
+    pub address: SocketAddr,
+    peers: JoinHandle<()>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.peers.abort();
+    }
+}
+
+pub fn service() -> Service {
+    let route = |name: &str, path: &str, repeatable| bundle::Route {
+        name: name.parse().unwrap(),
+        path: path.to_owned(),
+        methods: Vec::new(),
+        service: SERVICE.parse().unwrap(),
+        deadline_ms: 5_000,
+        repeatable,
+    };
+    Service {
+        name: SERVICE.parse().unwrap(),
+        owner: "caroni".parse().unwrap(),
+        file: "renewals.ini".to_owned(),
+        slots: size::Slots::new(4),
+        connections: size::Connections::new(20),
+        queue: size::Queue::new(8),
+        reach: Reach::Any,
+        subset: 8,
+        attempts: 2,
+        budget: Percent::new(20),
+        routes: vec![
+            route("status", "/status", true),
+            route("renew", "/renew", false),
+        ],
+    }
+}
+
+impl World {
+    pub fn new(service: Service) -> Arc<Self> {
+        let bundle = Bundle::new(Version::new(7), Timestamp::new(1), [service]).unwrap();
+        Arc::new(Self {
+            bundle: ArcSwap::from_pointee(bundle),
+            candidates: Mutex::default(),
+        })
+    }
+
+    pub fn mesh(self: &Arc<Self>) -> Mesh {
+        let (bundles, targets) = (Arc::clone(self), Arc::clone(self));
+        Mesh::new(
+            move || bundles.bundle.load_full(),
+            move |_| targets.candidates.lock().unwrap().clone(),
+            || true,
+        )
+    }
+
+    /// Starts a node without an upstream.
+    pub async fn node(self: &Arc<Self>, name: &str, store: Option<store::Store>) -> Node {
+        let mesh = self.mesh();
+        let target = Target::new(mesh.clone(), store);
+        let accounts = Arc::new(Accounts::new());
+        let place = Place {
+            node: name.parse().unwrap(),
+            region: "north".parse().unwrap(),
+            domain: "north-a".parse().unwrap(),
+        };
+        let idle = Duration::from_mins(1);
+        let caller = Caller::new(place, mesh, target.clone(), Arc::clone(&accounts), idle);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let serving = target.clone();
+        let peers = tokio::spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            while let Ok((socket, _)) = listener.accept().await {
+                let serving = serving.clone();
+                connections.spawn(wire::serve(socket, move |_, stream| {
+                    let serving = serving.clone();
+                    async move { serving.serve(stream).await }
+                }));
+            }
+        });
+        Node {
+            caller,
+            target,
+            accounts,
+            address,
+            peers,
+        }
+    }
+
+    /// Starts a node beside an upstream and makes it a target, reached at `address` if given.
+    pub async fn target(self: &Arc<Self>, name: &str, upstream: SocketAddr) -> Node {
+        let node = self.node(name, None).await;
+        node.target.announce(announcement(upstream)).unwrap();
+        self.add(name, node.address);
+        node
+    }
+
+    pub fn add(&self, name: &str, address: SocketAddr) {
+        self.candidates.lock().unwrap().push(Candidate {
+            node: name.parse().unwrap(),
+            address,
+            region: "north".parse().unwrap(),
+            domain: "north-a".parse().unwrap(),
+            slots: size::Slots::new(4),
+        });
+    }
+
+    pub fn remove(&self, name: &str) {
+        let mut candidates = self.candidates.lock().unwrap();
+        candidates.retain(|candidate| candidate.node.as_str() != name);
+    }
+}
+
+pub fn announcement(upstream: SocketAddr) -> Announcement {
+    Announcement::new(
+        SERVICE.parse().unwrap(),
+        upstream,
+        size::Slots::new(4),
+        size::Connections::new(20),
+    )
+}
+
+/// A request that may be repeated, without a deadline of its own.
+pub fn status(id: &str) -> Request {
+    request(id, Method::GET, "/status/1")
+}
+
+/// A request that must not be repeated.
+pub fn renewal(id: &str) -> Request {
+    request(id, Method::POST, "/renew").with_body("payment")
+}
+
+fn request(id: &str, method: Method, target: &str) -> Request {
+    Request::new(id.parse().unwrap(), method, target)
+        .with_owner("koperglans".parse().unwrap())
+        .with_deadline(Deadline::after_ms(2_000))
+}
+
+/// Outcome, fault and status of an answer, in one line for tables.
+pub fn verdict(answer: &Answer) -> String {
+    format!(
+        "{} {} {}",
+        answer.outcome,
+        answer.fault,
+        answer.status.as_u16()
+    )
+}
+
+pub fn owner() -> id::Owner {
+    "koperglans".parse().unwrap()
+}
--- a/crates/route/src/picture.rs
+++ b/crates/route/src/picture.rs
@@ -28,7 +28,7 @@
 const AVOID_DOUBLINGS: u32 = 3;
 
 /// Time after which a target without calls is forgotten.
-const FORGET: Duration = Duration::from_secs(60);
+const FORGET: Duration = Duration::from_mins(1);
 
 /// How far a call may go and how many targets it may choose from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/wire/tests/contract.rs
+++ b/crates/wire/tests/contract.rs
@@ -93,12 +93,12 @@
 #[tokio::test]
 async fn data_and_messages_arrive_whole_and_in_order() {
     let (listener, address) = listen().await;
-    let body = Buffer::from_iter((0..5_000_000u32).map(|n| (n % 251) as u8));
-    let sent = body.clone();
+    let body: Buffer = (0..5_000_000u32).map(|n| n.to_le_bytes()[1]).collect();
+    let content = body.clone();
     tokio::spawn(async move {
         let (socket, _) = listener.accept().await.unwrap();
         let send = move |_, mut stream: Stream| {
-            let body = sent.clone();
+            let body = content.clone();
             async move {
                 stream.sender.send(&chunk(b"head")).await.unwrap();
                 stream.sender.send_data(body).await.unwrap();
