Ping call connections only while streams are open, and before use when idle

Pings each second on every connection cost a node with 24 connections several times the control budget for nothing. Windows change to 256 KiB for a stream and 64 MiB for a connection, so that slow readers of some answers do not stop the others.

--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -37,7 +37,7 @@
     let Stream {
         mut sender,
         receiver,
-    } = open(connection, job.deadline).await?;
+    } = open(connection, job).await?;
     let head = message(Kind::Call(job.to_head(HOP_MARGIN, Instant::now())));
     let mut link = Link {
         receiver,
@@ -61,9 +61,16 @@
     }
 }
 
-async fn open(connection: &Connection, deadline: Deadline) -> Result<Stream, Failure> {
-    let opening = connection.open(wire::Kind::Call);
-    match timeout_at(deadline.instant(), opening).await {
+/// Opens a stream. A call that must not be repeated goes over a connection that has answered lately;
+/// for the others a ping beside the call is enough.
+async fn open(connection: &Connection, job: &Job) -> Result<Stream, Failure> {
+    let opening = async {
+        if !job.repeatable {
+            connection.check(job.deadline).await?;
+        }
+        connection.open(wire::Kind::Call).await
+    };
+    match timeout_at(job.deadline.instant(), opening).await {
         Ok(Ok(stream)) => Ok(stream),
         Ok(Err(error)) => Err(Failure::mesh(format!(
             "link failed before hand-over: {error}"
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -10,6 +10,7 @@
 mod upstream;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -32,6 +33,7 @@
 pub struct World {
     pub bundle: ArcSwap<Bundle>,
     pub candidates: Mutex<Vec<Candidate>>,
+    pub ready: AtomicBool,
 }
 
 pub struct Node {
@@ -81,15 +83,16 @@
         Arc::new(Self {
             bundle: ArcSwap::from_pointee(bundle),
             candidates: Mutex::default(),
+            ready: AtomicBool::new(true),
         })
     }
 
     pub fn mesh(self: &Arc<Self>) -> Mesh {
-        let (bundles, targets) = (Arc::clone(self), Arc::clone(self));
+        let (bundles, targets, ready) = (Arc::clone(self), Arc::clone(self), Arc::clone(self));
         Mesh::new(
             move || bundles.bundle.load_full(),
             move |_| targets.candidates.lock().unwrap().clone(),
-            || true,
+            move || ready.ready.load(Ordering::SeqCst),
         )
     }
 
@@ -186,6 +189,12 @@
     )
 }
 
+/// Address on which nothing listens.
+pub async fn closed_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
 pub fn owner() -> id::Owner {
     "koperglans".parse().unwrap()
 }
--- a/crates/call/tests/support/upstream.rs
+++ b/crates/call/tests/support/upstream.rs
@@ -88,9 +88,28 @@
         self.0.runs.lock().unwrap().len()
     }
 
-    /// Requests whose connection was closed before the answer was complete.
-    pub fn closed_early(&self) -> u32 {
-        self.0.closed_early.load(Ordering::SeqCst)
+    /// Waits until the client has closed a connection before its answer was complete.
+    pub async fn wait_closed_early(&self) {
+        let closed = async {
+            while self.0.closed_early.load(Ordering::SeqCst) == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(4), closed)
+            .await
+            .expect("connection stays open");
+    }
+
+    /// Waits until a request with this id has arrived.
+    pub async fn wait_run(&self, id: &str) {
+        let arrived = async {
+            while self.runs(id) == 0 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(4), arrived)
+            .await
+            .expect("request does not arrive");
     }
 
     pub fn most_running(&self) -> u32 {
@@ -117,7 +136,9 @@
             }
             continue;
         }
-        state.runs.lock().unwrap().push(head.id.clone());
+        if !matches!(*state.behaviour.lock().unwrap(), Behaviour::Shed) {
+            state.runs.lock().unwrap().push(head.id.clone());
+        }
         let running = state.running.fetch_add(1, Ordering::SeqCst) + 1;
         state.most_running.fetch_max(running, Ordering::SeqCst);
         let goes_on = answer(&state, &mut socket, &head).await;
@@ -207,8 +228,8 @@
         Behaviour::CloseBeforeHead | Behaviour::Silent => (Vec::new(), false),
     };
     let sent = socket.write_all(&bytes).await.is_ok();
-    if matches!(behaviour, Behaviour::Silent | Behaviour::SilentInBody) {
-        closes_within(socket, Duration::from_mins(1)).await;
+    let silent = matches!(behaviour, Behaviour::Silent | Behaviour::SilentInBody);
+    if !sent || silent && closes_within(socket, Duration::from_mins(1)).await {
         state.closed_early.fetch_add(1, Ordering::SeqCst);
     }
     sent && goes_on
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes as Buffer;
 use h2::client::{Builder, SendRequest};
@@ -10,7 +11,7 @@
 
 use crate::{
     CONNECTION_WINDOW, Error, HEADER_LIMIT, Kind, PROTOCOL, PROTOCOL_HEADER, Receiver,
-    STREAM_WINDOW, Sender, Stream, liveness,
+    STREAM_WINDOW, Sender, Stream, liveness::Liveness,
 };
 
 /// Connection that this process dialled.
@@ -23,6 +24,7 @@
     requests: SendRequest<Buffer>,
     closed: watch::Receiver<bool>,
     stop: watch::Sender<bool>,
+    liveness: Arc<Liveness>,
 }
 
 impl Connection {
@@ -51,10 +53,12 @@
         let (closing, closed) = watch::channel(false);
         let (stop, mut stopped) = watch::channel(false);
         let pings = connection.ping_pong();
+        let liveness = Arc::new(Liveness::new());
+        let watching = Arc::clone(&liveness);
         tokio::spawn(async move {
             tokio::select! {
                 _ = connection => {}
-                () = liveness::watch(pings) => {}
+                () = watching.watch(pings) => {}
                 () = wait_stop(&mut stopped) => {}
             }
             closing.send_replace(true);
@@ -64,6 +68,7 @@
             requests,
             closed,
             stop,
+            liveness,
         })
     }
 
@@ -85,6 +90,24 @@
         let _ = self.closed.clone().wait_for(|closed| *closed).await;
     }
 
+    /// Checks with a ping that the peer answers, unless it did within [`PING_INTERVAL`](crate::PING_INTERVAL).
+    /// A connection may go silent while it is idle.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Closed`] when the connection is closed or gives no answer by the deadline.
+    pub async fn check(&self, deadline: Deadline) -> Result<(), Error> {
+        if self.liveness.is_fresh() {
+            return Ok(());
+        }
+        tokio::select! {
+            answer = timeout_at(deadline.instant(), self.liveness.wait_answer()) => {
+                answer.map_err(|_| Error::Closed)
+            }
+            () = self.wait_closed() => Err(Error::Closed),
+        }
+    }
+
     /// Opens a stream. Nothing has reached the peer's application when this fails.
     ///
     /// # Errors
@@ -100,7 +123,7 @@
         let (response, sender) = requests.send_request(request, false)?;
         Ok(Stream {
             sender: Sender::new(sender),
-            receiver: Receiver::opening(response),
+            receiver: Receiver::opening(response, &self.liveness),
         })
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,7 +5,8 @@
 //! stream ends properly only when the sender calls [`Sender::finish`]; every other end is an
 //! [`Error`].
 //!
-//! A connection that misses a ping for [`PING_LIMIT`] is closed, and all its streams fail.
+//! A connection with open streams that misses a ping for [`PING_LIMIT`] is closed, and all its streams
+//! fail. [`Connection::check`] pings a connection that has been idle.
 //!
 //! ```no_run
 //! # async fn example() -> Result<(), wire::Error> {
@@ -46,11 +47,12 @@
 /// Header that carries [`PROTOCOL`].
 const PROTOCOL_HEADER: &str = "dandelionseam-protocol";
 
-/// Receive window of a stream, in bytes.
-const STREAM_WINDOW: u32 = 1024 * 1024;
+/// Receive window of a stream, in bytes. It is what one reader that stalls can hold in memory.
+const STREAM_WINDOW: u32 = 256 * 1024;
 
-/// Receive window of a connection, in bytes.
-const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+/// Receive window of a connection, in bytes. It covers 256 streams whose readers stall, more than a
+/// target has slots, so that slow readers do not stop the other streams.
+const CONNECTION_WINDOW: u32 = 64 * 1024 * 1024;
 
 /// Largest list of request headers, in bytes. Streams carry their data in frames, not in headers.
 const HEADER_LIMIT: u32 = 8 * 1024;
--- a/crates/wire/src/receiver.rs
+++ b/crates/wire/src/receiver.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use bytes::{Buf, Bytes as Buffer, BytesMut};
 use h2::RecvStream;
 use h2::client::ResponseFuture;
@@ -6,12 +8,30 @@
 use types::size::Bytes;
 
 use crate::frame::{DATA, PREFIX};
+use crate::liveness::Liveness;
 use crate::{Error, Frame, PROTOCOL, PROTOCOL_HEADER, Part};
 
 /// Receiving direction of a stream.
 pub struct Receiver {
     state: State,
     buffer: BytesMut,
+    _open: Open,
+}
+
+/// Counts an open stream until it is dropped.
+struct Open(Arc<Liveness>);
+
+impl Open {
+    fn new(liveness: &Arc<Liveness>) -> Self {
+        liveness.opened();
+        Self(Arc::clone(liveness))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.ended();
+    }
 }
 
 /// Progress of the receiving direction.
@@ -23,17 +43,19 @@
 }
 
 impl Receiver {
-    pub(crate) fn opening(response: ResponseFuture) -> Self {
+    pub(crate) fn opening(response: ResponseFuture, liveness: &Arc<Liveness>) -> Self {
         Self {
             state: State::Opening(response),
             buffer: BytesMut::new(),
+            _open: Open::new(liveness),
         }
     }
 
-    pub(crate) fn open(stream: RecvStream) -> Self {
+    pub(crate) fn open(stream: RecvStream, liveness: &Arc<Liveness>) -> Self {
         Self {
             state: State::Open(stream),
             buffer: BytesMut::new(),
+            _open: Open::new(liveness),
         }
     }
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes as Buffer;
@@ -10,7 +11,7 @@
 
 use crate::{
     CONNECTION_WINDOW, Error, HEADER_LIMIT, Kind, PROTOCOL, PROTOCOL_HEADER, Receiver,
-    STREAM_WINDOW, Sender, Stream, liveness,
+    STREAM_WINDOW, Sender, Stream, liveness::Liveness,
 };
 
 /// Longest time for the `h2` handshake. It bounds the memory that a slow or silent sender holds.
@@ -42,12 +43,13 @@
     let mut connection = timeout(HANDSHAKE_LIMIT, handshake)
         .await
         .map_err(|_| Error::ConnectDeadline)??;
-    let mut silent = Box::pin(liveness::watch(connection.ping_pong()));
+    let liveness = Arc::new(Liveness::new());
+    let mut silent = Box::pin(liveness.watch(connection.ping_pong()));
     loop {
         tokio::select! {
             accepted = connection.accept() => match accepted {
                 Some(Ok((request, response))) => {
-                    if let Some((kind, stream)) = accept(request, response) {
+                    if let Some((kind, stream)) = accept(request, response, &liveness) {
                         tokio::spawn(handle(kind, stream));
                     }
                 }
@@ -63,6 +65,7 @@
 fn accept(
     request: Request<RecvStream>,
     mut response: SendResponse<Buffer>,
+    liveness: &Arc<Liveness>,
 ) -> Option<(Kind, Stream)> {
     let kind = Kind::from_path(request.uri().path());
     let protocol = request
@@ -86,7 +89,7 @@
     let kind = kind.filter(|_| status == StatusCode::OK)?;
     let stream = Stream {
         sender: Sender::new(sender),
-        receiver: Receiver::open(request.into_body()),
+        receiver: Receiver::open(request.into_body(), liveness),
     };
     Some((kind, stream))
 }
--- a/crates/wire/tests/contract.rs
+++ b/crates/wire/tests/contract.rs
@@ -197,10 +197,8 @@
     assert!(whole > 0, "every connection was cut");
 }
 
-/// Guards against a connection that stays in use after its path has lost track of it.
-#[tokio::test]
-async fn silent_connection_is_closed_within_the_ping_limits() {
-    let server = serve_echo().await;
+/// Forwards one connection until the sender says so; both sockets then stay open and silent.
+async fn silent_relay(server: SocketAddr) -> (SocketAddr, tokio::sync::watch::Sender<bool>) {
     let (listener, address) = listen().await;
     let (silence, mut silent) = tokio::sync::watch::channel(false);
     tokio::spawn(async move {
@@ -216,6 +214,16 @@
         // Both sockets stay open, but nothing is forwarded any more.
         std::future::pending::<()>().await;
     });
+    (address, silence)
+}
+
+/// Twice the design bound of 2 s, because the machine that runs the tests is shared.
+const SILENCE_BOUND: Duration = Duration::from_secs(4);
+
+/// Guards against a connection that stays in use after its path has lost track of it.
+#[tokio::test]
+async fn silent_connection_is_closed_within_the_ping_limits() {
+    let (address, silence) = silent_relay(serve_echo().await).await;
     let connection = connect(address).await;
     let mut stream = connection.open(Kind::Control).await.unwrap();
     stream.sender.send(&chunk(b"alive")).await.unwrap();
@@ -224,13 +232,28 @@
         b"alive"
     );
     silence.send_replace(true);
-    // Twice the design bound of 2 s, because the machine that runs the tests is shared.
-    let bound = 2 * (PING_INTERVAL + PING_LIMIT);
-    let end = timeout(bound, stream.receiver.recv::<Message>()).await;
+    assert_eq!(2 * (PING_INTERVAL + PING_LIMIT), SILENCE_BOUND);
+    let end = timeout(SILENCE_BOUND, stream.receiver.recv::<Message>()).await;
     assert!(matches!(end, Ok(Err(_))), "{end:?}");
     assert!(connection.is_closed());
 }
 
+/// Guards against a connection that went silent while it was idle and takes a call that must not be
+/// repeated, and against a check that fails on a connection that works.
+#[tokio::test]
+async fn check_finds_a_connection_that_went_silent_while_idle() {
+    let (address, silence) = silent_relay(serve_echo().await).await;
+    let connection = connect(address).await;
+    tokio::time::sleep(2 * PING_INTERVAL).await;
+    let bound = || Deadline::after(SILENCE_BOUND);
+    connection.check(bound()).await.unwrap();
+    silence.send_replace(true);
+    tokio::time::sleep(2 * PING_INTERVAL).await;
+    let check = timeout(SILENCE_BOUND, connection.check(bound())).await;
+    assert!(matches!(check, Ok(Err(Error::Closed))), "{check:?}");
+    assert!(connection.is_closed());
+}
+
 /// Guards against peers of unequal protocol versions that misread each other's messages.
 #[tokio::test]
 async fn unequal_protocol_version_is_refused_with_both_versions() {
