--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -33,6 +33,9 @@
     pub parent: Option<id::Node>,
     /// Whether the node is the root of its region's tree.
     pub root: bool,
+    /// Port of its admin interface, on the IP address of the peer port; `None` when other nodes
+    /// cannot reach it.
+    pub admin_port: Option<u16>,
 }
 
 /// Change of state of a node, without the fields that stay the same.
@@ -86,9 +89,24 @@
             sequence: 0,
             parent: None,
             root: false,
+            admin_port: None,
         }
     }
 
+    /// Sets the port of the admin interface.
+    #[must_use]
+    pub const fn with_admin_port(mut self, port: Option<u16>) -> Self {
+        self.admin_port = port;
+        self
+    }
+
+    /// Address of the admin interface, when other nodes can reach it.
+    #[must_use]
+    pub fn admin(&self) -> Option<SocketAddr> {
+        let port = self.admin_port?;
+        Some(SocketAddr::new(self.address.ip(), port))
+    }
+
     /// Order of two records of the same node; the greater one wins a merge.
     ///
     /// The fields after the state only matter for a faulty sender that gives two records the same
@@ -155,6 +173,7 @@
                 .unwrap_or_default(),
             root: self.root,
             gone_s,
+            admin_port: self.admin_port.map_or(0, u32::from),
         }
     }
 
@@ -186,6 +205,7 @@
         }
         hasher.update(&self.slots.get().to_le_bytes());
         hasher.update(&[u8::from(self.root)]);
+        hasher.update(&self.admin_port.unwrap_or(0).to_le_bytes());
         hasher.digest()
     }
 }
@@ -209,6 +229,9 @@
             sequence: message.sequence,
             parent: optional(&message.parent)?,
             root: message.root,
+            admin_port: u16::try_from(message.admin_port)
+                .ok()
+                .filter(|port| *port > 0),
         })
     }
 }
--- a/crates/types/src/report.rs
+++ b/crates/types/src/report.rs
@@ -113,6 +113,8 @@
     pub ran: u64,
     /// Failed calls that may have run.
     pub unknown: u64,
+    /// Calls that the caller gave up before their end.
+    pub cancelled: u64,
     /// Failures by fault of the caller.
     pub caller: u64,
     /// Failures by fault of a service.
@@ -149,6 +151,7 @@
         self.not_run += other.not_run;
         self.ran += other.ran;
         self.unknown += other.unknown;
+        self.cancelled += other.cancelled;
         self.caller += other.caller;
         self.service += other.service;
         self.mesh += other.mesh;
