--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -112,7 +112,6 @@
         let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else {
             return self.fail(id, Failure::mesh("too many calls at this node"));
         };
-        let busy = link.begin();
         let method = true_method(request, &mut data).await;
         let (pump, upload) = upload::channel();
         let mut call = match self.read(request, id.clone(), method) {
@@ -123,8 +122,7 @@
         let held = Call {
             link: Arc::clone(&link),
             metrics: Arc::clone(&self.metrics),
-            permit,
-            busy,
+            _permit: permit,
             end: (types::Outcome::Unknown, Fault::Caller),
         };
         self.run(request.method(), call, held, (pump, data)).await
--- a/crates/node/src/download.rs
+++ b/crates/node/src/download.rs
@@ -11,7 +11,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use types::{Fault, Outcome};
 
-use crate::{Busy, Link, Metrics};
+use crate::{Link, Metrics};
 
 /// Body of an answer on its way to the caller.
 ///
@@ -29,8 +29,7 @@
 pub struct Call {
     pub link: Arc<Link>,
     pub metrics: Arc<Metrics>,
-    pub permit: OwnedSemaphorePermit,
-    pub busy: Busy,
+    pub _permit: OwnedSemaphorePermit,
     /// End of the call, counted when the call is dropped.
     pub end: (Outcome, Fault),
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use rocket::config::{Ident, LogLevel, Shutdown as ShutdownConfig};
+use rocket::data::{Limits, ToByteUnit};
 use rocket::fairing::AdHoc;
 use rocket::shield::Shield;
 use rocket::{Build, Config, Rocket, Shutdown};
@@ -16,6 +17,9 @@
 /// seconds. The life cycle of the node sets the real limit.
 const GRACE_S: u32 = 3600;
 
+/// Largest JSON body of a request, in KiB. An announcement takes a few hundred bytes.
+const JSON_LIMIT_KIB: u64 = 16;
+
 /// Reason why an HTTP port was not opened.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -51,7 +55,8 @@
             let _ = listening.send(rocket.config().port);
             Box::pin(async {})
         });
-        let rocket = rocket.attach(liftoff).ignite().await;
+        let rocket = rocket.attach(liftoff).attach(mark_busy(&relay));
+        let rocket = rocket.ignite().await;
         let rocket = rocket.map_err(|error| Error::Server(error.to_string()))?;
         let shutdown = rocket.shutdown();
         tokio::spawn(async move {
@@ -72,6 +77,17 @@
     }
 }
 
+/// Keeps the connection of a request from idling until its answer is delivered.
+fn mark_busy(relay: &Arc<Relay>) -> AdHoc {
+    let relay = Arc::clone(relay);
+    AdHoc::on_request("busy", move |request, _| {
+        let link = request.remote().and_then(|peer| relay.link(peer));
+        // The request lives until its answer has been written.
+        request.local_cache(|| link.map(|link| link.begin()));
+        Box::pin(async {})
+    })
+}
+
 /// HTTP server without routes, with the settings that both ports share.
 ///
 /// It adds no headers of its own to answers, handles no signals and reads no settings from files
@@ -83,6 +99,7 @@
         port: 0,
         ident: Ident::none(),
         ip_header: None,
+        limits: Limits::new().limit("json", JSON_LIMIT_KIB.kibibytes()),
         log_level: LogLevel::Off,
         cli_colors: false,
         shutdown: ShutdownConfig {
--- /dev/null
+++ b/crates/node/src/report.rs
@@ -0,0 +1,119 @@
+//! Reports of the admin port, filled from the state of the node.
+
+use member::{Record, Table};
+use schema::control::DomainSummary;
+use types::report;
+
+use crate::Node;
+
+/// Report for `GET /status`.
+#[must_use]
+pub fn status(node: &Node) -> report::Status {
+    let bundle = node.spread.bundle();
+    let table = node.spread.table();
+    report::Status {
+        node: node.place.node.to_string(),
+        region: node.place.region.to_string(),
+        domain: node.place.domain.to_string(),
+        version: bundle.version.get(),
+        digest: bundle.digest.to_string(),
+        ready: node.is_ready(),
+        reader: node.spread.is_root(),
+        readers: readers(&table),
+        summaries: node.spread.summaries().into_iter().map(summary).collect(),
+    }
+}
+
+/// Report for `GET /members`, in order of id.
+#[must_use]
+pub fn members(node: &Node) -> Vec<report::Member> {
+    let mut members: Vec<_> = node.spread.table().iter().map(member).collect();
+    members.sort_by(|left, right| left.id.cmp(&right.id));
+    members
+}
+
+/// Report for `GET /account/<owner>`.
+#[must_use]
+pub fn account(node: &Node, owner: &types::id::Owner) -> report::Account {
+    let account = node.accounts.read(owner);
+    let counters = account.counters;
+    report::Account {
+        node: node.place.node.to_string(),
+        owner: owner.to_string(),
+        counters: report::Counters {
+            calls: counters.calls,
+            not_run: counters.not_run,
+            ran: counters.ran,
+            unknown: counters.unknown,
+            cancelled: counters.cancelled,
+            caller: counters.caller,
+            service: counters.service,
+            mesh: counters.mesh,
+        },
+        failures: account.failures.iter().map(failure).collect(),
+    }
+}
+
+fn readers(table: &Table) -> Vec<report::Reader> {
+    let regions = table.regions();
+    let roots = regions.iter().flat_map(|region| table.roots(region));
+    roots
+        .map(|record| report::Reader {
+            region: record.region.to_string(),
+            node: record.id.to_string(),
+            admin: admin_url(record),
+        })
+        .collect()
+}
+
+fn summary(summary: DomainSummary) -> report::Summary {
+    report::Summary {
+        region: summary.region,
+        domain: summary.domain,
+        nodes: summary.nodes,
+        lowest: summary.lowest,
+        highest: summary.highest,
+        current: summary.current,
+        lagging: summary.lagging,
+        convergence_ms: summary.convergence_ms,
+    }
+}
+
+fn member(record: &Record) -> report::Member {
+    report::Member {
+        id: record.id.to_string(),
+        address: record.address.to_string(),
+        admin: admin_url(record),
+        region: record.region.to_string(),
+        domain: record.domain.to_string(),
+        service: text(record.service.as_ref()),
+        slots: record.slots.get(),
+        state: record.state.to_string(),
+        incarnation: record.incarnation.get(),
+    }
+}
+
+fn failure(entry: &call::Entry) -> report::Failure {
+    report::Failure {
+        time_ms: entry.time.get(),
+        request: entry.request.to_string(),
+        route: text(entry.route.as_ref()),
+        service: text(entry.service.as_ref()),
+        outcome: entry.outcome.to_string(),
+        fault: entry.fault.to_string(),
+        reason: entry.reason.clone(),
+        version: entry.version.get(),
+    }
+}
+
+fn admin_url(record: &Record) -> String {
+    let address = record.admin();
+    address.map_or_else(String::new, |address| format!("http://{address}"))
+}
+
+fn text<V>(value: Option<&V>) -> String
+where
+    V: ToString,
+{
+    value.map_or_else(String::new, ToString::to_string)
+}
