--- a/crates/standin/src/bin/standin-store.rs
+++ b/crates/standin/src/bin/standin-store.rs
@@ -105,7 +105,7 @@
     let store = Store::start(listen, control)
         .await
         .map_err(|e| e.to_string())?;
-    store.set_faults(faults).await;
+    store.apply_faults(faults).await;
     println!(
         "store {} control {}",
         store.address(),
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -58,8 +58,8 @@
         }
     }
 
-    /// Refuses connections and closes the open ones, or accepts them again. Returns when that is so.
-    pub(crate) async fn refuse(&self, refuse: bool) {
+    /// Refuses connections and closes the open ones, or accepts them again. See [`Gate::wait_settled`].
+    pub(crate) fn refuse(&self, refuse: bool) {
         let wanted = if refuse { Phase::Refusing } else { Phase::Open };
         self.phase.send_if_modified(|phase| {
             let changes = *phase != Phase::Closed && *phase != wanted;
@@ -68,6 +68,11 @@
             }
             changes
         });
+    }
+
+    /// Waits until the listening socket has followed the last [`Gate::refuse`].
+    pub(crate) async fn wait_settled(&self) {
+        let wanted = *self.phase.borrow();
         let mut reached = self.reached.subscribe();
         // The sender is in `self`, so this cannot fail.
         let _ = reached
--- a/crates/standin/src/store/gateway.rs
+++ b/crates/standin/src/store/gateway.rs
@@ -201,7 +201,8 @@
             let body = reply::read(request).await.map_err(|_| Cut)?;
             Ok(match reply::parse(&body) {
                 Ok(faults) => {
-                    set_faults(&shared, &gate, faults).await;
+                    set_faults(&shared, &gate, faults);
+                    gate.wait_settled().await;
                     reply::text(StatusCode::OK, "")
                 }
                 Err(error) => reply::text(StatusCode::BAD_REQUEST, error.to_string()),
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -156,9 +156,15 @@
         self.control.address()
     }
 
-    /// Replaces the faults in force. They are in force when this returns.
-    pub async fn set_faults(&self, faults: Faults) {
-        set_faults(&self.shared, self.server.gate(), faults).await;
+    /// Replaces the faults in force. The listening socket follows an outage a moment later.
+    pub fn set_faults(&self, faults: Faults) {
+        set_faults(&self.shared, self.server.gate(), faults);
+    }
+
+    /// Replaces the faults in force; returns when the listening socket has followed.
+    pub async fn apply_faults(&self, faults: Faults) {
+        self.set_faults(faults);
+        self.server.gate().wait_settled().await;
     }
 
     /// Calls that arrived so far.
@@ -181,7 +187,7 @@
 }
 
 /// Puts faults in force.
-async fn set_faults(shared: &Shared, gate: &Gate, faults: Faults) {
+fn set_faults(shared: &Shared, gate: &Gate, faults: Faults) {
     let outage = faults.outage();
     if faults.silence_connections {
         gate.silence();
@@ -195,5 +201,5 @@
     }
     shared.lock().faults.set(faults);
     gate.hang(outage == Outage::Hang);
-    gate.refuse(outage == Outage::Refuse).await;
+    gate.refuse(outage == Outage::Refuse);
 }
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use standin::store::Store as Standin;
 use standin::{Faults, Outage};
 use store::{Compare, Error, Kind, Lease, Operation, Revision, Span, Store, Txn};
@@ -242,21 +243,16 @@
 async fn each_operation_tells_what_is_known() {
     for case in cases() {
         let runs = Kind::ALL.map(async |kind| check(&case, kind).await);
-        join(runs).await;
+        // Many wait for their deadline, so they run at the same time.
+        join_all(runs).await;
     }
 }
 
-/// Runs the operations of a case at the same time, since many wait for their deadline.
-async fn join<F: Future<Output = ()>>(runs: [F; Kind::ALL.len()]) {
-    let [a, b, c, d, e, f, g, h] = runs;
-    tokio::join!(a, b, c, d, e, f, g, h);
-}
-
 async fn check(case: &Case, kind: Kind) {
     let name = format!("{}, {kind}", case.name);
     let fixture = Fixture::new().await;
     let before = fixture.arrived(kind);
-    fixture.standin.set_faults(case.faults).await;
+    fixture.standin.apply_faults(case.faults).await;
     if case.faults.write_limit > 0 {
         // Takes the one call of each sort that is within the limit.
         let _ = fixture.run(Kind::Range, soon()).await;
@@ -271,7 +267,7 @@
     };
     assert_eq!(classify(&result), expected, "{name}: {result:?}");
     let arrivals = fixture.arrived(kind) - before - spent;
-    fixture.standin.set_faults(Faults::default()).await;
+    fixture.standin.apply_faults(Faults::default()).await;
     let silent = case.faults.outage() != Outage::None;
     assert_eq!(
         arrivals,
@@ -305,7 +301,8 @@
 #[tokio::test]
 async fn next_address_is_tried_only_when_that_is_safe() {
     for outage in [Outage::Refuse, Outage::Hang] {
-        join(Kind::ALL.map(async |kind| check_next_address(outage, kind).await)).await;
+        let runs = Kind::ALL.map(async |kind| check_next_address(outage, kind).await);
+        join_all(runs).await;
     }
 }
 
@@ -316,7 +313,7 @@
         outage: outage.into(),
         ..Faults::default()
     };
-    first.set_faults(faults).await;
+    first.apply_faults(faults).await;
     fixture.store = Store::new(vec![url(&first), url(&fixture.standin)]).unwrap();
     let before = fixture.arrived(kind);
     let moves_on = outage == Outage::Refuse || matches!(kind, Kind::Range | Kind::Watch);
@@ -339,7 +336,7 @@
     fixture.run(Kind::Range, soon()).await.unwrap();
     fixture
         .standin
-        .set_faults(Faults {
+        .apply_faults(Faults {
             silence_connections: true,
             ..Faults::default()
         })
@@ -368,7 +365,7 @@
     let fixture = Fixture::new().await;
     fixture
         .standin
-        .set_faults(Faults {
+        .apply_faults(Faults {
             lapse_leases: true,
             ..Faults::default()
         })
--- a/crates/store/tests/watches.rs
+++ b/crates/store/tests/watches.rs
@@ -54,11 +54,11 @@
         let first = put(&store, "a").await;
         let mut watch = open(&store, first).await;
         assert_eq!(revisions(&next(&mut watch).await.unwrap()), [first]);
-        standin.set_faults(faults).await;
+        standin.apply_faults(faults).await;
         let second = put(&store, "a").await;
         let silent = watch.next(Deadline::after_ms(SILENCE_MS)).await;
         assert_eq!(silent, Err(Error::WatchSilent));
-        standin.set_faults(Faults::default()).await;
+        standin.apply_faults(Faults::default()).await;
         let silent = watch.next(Deadline::after_ms(SILENCE_MS)).await;
         assert_eq!(silent, Err(Error::WatchSilent), "silent for good");
         let mut resumed = open(&store, watch.next_revision()).await;
@@ -81,7 +81,7 @@
         next(&mut watch).await.unwrap();
         let skip = u32::try_from(steps.len() - 1).unwrap();
         standin
-            .set_faults(Faults {
+            .apply_faults(Faults {
                 skip_events: skip,
                 ..Faults::default()
             })
@@ -117,7 +117,7 @@
             repeat_messages,
             ..Faults::default()
         };
-        standin.set_faults(faults).await;
+        standin.apply_faults(faults).await;
         put(&store, "k").await;
         put(&store, "k").await;
         let mut reported = next(&mut watch).await;
@@ -139,7 +139,7 @@
     let newest = put(&store, "k").await;
     let compact_before = u32::try_from(newest.get()).unwrap();
     standin
-        .set_faults(Faults {
+        .apply_faults(Faults {
             compact_before,
             ..Faults::default()
         })
@@ -169,12 +169,12 @@
         let mut watch = open(&store, Revision::NONE).await;
         let first = put(&store, "k").await;
         assert_eq!(revisions(&next(&mut watch).await.unwrap()), [first]);
-        standin.set_faults(faults).await;
+        standin.apply_faults(faults).await;
         // The write takes effect when the answer is damaged, and is not sent during the outage.
         let written = store.put("k", vec![], None, soon()).await.unwrap_err();
         let error = next(&mut watch).await.unwrap_err();
         assert!(matches!(error, Error::WatchEnded(_)), "{error}");
-        standin.set_faults(Faults::default()).await;
+        standin.apply_faults(Faults::default()).await;
         let last = put(&store, "k").await;
         let mut expected = vec![first.next(), last];
         expected.dedup();
@@ -198,7 +198,7 @@
 async fn opening_ends_by_its_deadline() {
     let (standin, store) = start().await;
     standin
-        .set_faults(Faults {
+        .apply_faults(Faults {
             outage: Outage::Hang.into(),
             ..Faults::default()
         })
