--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -166,12 +166,23 @@
         })
     }
 
+    /// Checks a list of operations; a key may be written only once in a transaction.
     fn check_operations(&self, operations: &[RequestOp]) -> Result<(), Refusal> {
         let mut written = BTreeSet::new();
+        let duplicate = || Refusal::invalid("duplicate key given in txn request");
         for put in operations.iter().filter_map(|o| o.request_put.as_ref()) {
             self.check_put(put)?;
             if !written.insert(&put.key) {
-                return Err(Refusal::invalid("duplicate key given in txn request"));
+                return Err(duplicate());
+            }
+        }
+        for delete in operations
+            .iter()
+            .filter_map(|o| o.request_delete_range.as_ref())
+        {
+            let span = Span::new(&delete.key, &delete.range_end);
+            if written.iter().any(|key| span.holds(key)) {
+                return Err(duplicate());
             }
         }
         Ok(())
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -17,7 +17,7 @@
 /// Client of the store. Clones share connections and counters.
 ///
 /// Each call ends by its deadline. A write is sent at most once; the next address is tried only when
-/// nothing was sent. A read may be sent to each address once.
+/// nothing was sent. A read may be sent to each address, and once more when its connection broke.
 #[derive(Clone)]
 pub struct Store {
     transport: Arc<Transport>,
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -89,9 +89,15 @@
             }
             let index = (first + tried) % count;
             let limit = share(kind, deadline, now, count - tried);
-            let result = self
-                .attempt(kind, &self.addresses[index], body.clone(), limit, &read)
+            let target = &self.addresses[index];
+            let mut result = self
+                .attempt(kind, &self.client(kind), target, body.clone(), limit, &read)
                 .await;
+            if kind == Kind::Range && is_broken(&result, limit) {
+                result = self
+                    .attempt(kind, &self.single, target, body.clone(), limit, &read)
+                    .await;
+            }
             match result {
                 Ok(answer) => {
                     self.preferred.store(index, Ordering::Relaxed);
@@ -108,6 +114,7 @@
     async fn attempt<T, R>(
         &self,
         kind: Kind,
+        client: &Client,
         address: &Url,
         body: Bytes,
         limit: Deadline,
@@ -120,8 +127,7 @@
             .join(kind.path())
             .map_err(|error| Error::NotSent(error.to_string()))?;
         self.counters.count(kind);
-        let client = self.client(kind);
-        let exchange = async { read(send(&client, kind, url, body).await?).await };
+        let exchange = async { read(send(client, kind, url, body).await?).await };
         let Ok(result) = timeout_at(limit.instant(), exchange).await else {
             log::warn!(kind:%, address:%; "store call without an answer by its deadline");
             self.replace_pool();
@@ -188,6 +194,12 @@
     Ok(body.freeze())
 }
 
+/// Whether a read lost its connection before its limit. The store may have closed the pooled
+/// connection while it was idle, so the read is sent again on a new one.
+fn is_broken<T>(result: &Result<T, Error>, limit: Deadline) -> bool {
+    matches!(result, Err(Error::AnswerLost(_))) && !limit.has_passed(Instant::now())
+}
+
 /// Deadline of one attempt when `left` addresses are left.
 fn share(kind: Kind, deadline: Deadline, now: Instant, left: usize) -> Deadline {
     let parts = u32::try_from(left).unwrap_or(u32::MAX);
