--- a/crates/store/tests/calls.rs
+++ b/crates/store/tests/calls.rs
@@ -1,23 +1,15 @@
 //! Every operation of the client against the stand-in without faults.
 
-#![expect(clippy::unwrap_used, reason = "a failing helper fails its test")]
+#![allow(clippy::unwrap_used)]
+
+mod common;
 
 use std::time::Duration;
 
-use standin::store::Store as Standin;
-use store::{Change, Compare, Error, Kind, Operation, Reply, Revision, Span, Store, Txn};
+use common::{soon, start};
+use store::{Change, Compare, Error, Kind, Operation, Reply, Revision, Span, Txn};
 use types::Deadline;
 
-fn soon() -> Deadline {
-    Deadline::after_ms(2000)
-}
-
-async fn start() -> (Standin, Store) {
-    let standin = Standin::start_local().await.unwrap();
-    let store = Store::new(vec![standin.url().parse().unwrap()]).unwrap();
-    (standin, store)
-}
-
 fn put(key: &str, bytes: &[u8]) -> Operation {
     Operation::Put {
         key: key.into(),
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -2,24 +2,22 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use std::time::Duration;
 
+use common::{client, set_faults, soon, start};
 use futures::future::join_all;
 use standin::store::Store as Standin;
-use standin::{Faults, Outage};
 use store::{Compare, Error, Kind, Lease, Operation, Revision, Span, Store, Txn};
+use tokio::time::timeout;
 use types::Deadline;
 
 /// Longest time for a call, as in the design.
 const LIMIT_MS: u64 = 2000;
 
-fn soon() -> Deadline {
-    Deadline::after_ms(5000)
-}
-
-fn url(standin: &Standin) -> store::Url {
-    standin.url().parse().unwrap()
-}
+/// Time after which a call has outlived its deadline, even on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Store with `k` changed twice and the key `leased` on a lease.
 struct Fixture {
@@ -31,8 +29,7 @@
 
 impl Fixture {
     async fn new() -> Self {
-        let standin = Standin::start_local().await.unwrap();
-        let store = Store::new(vec![url(&standin)]).unwrap();
+        let (standin, store) = start().await;
         store.put("k", b"old".into(), None, soon()).await.unwrap();
         store.put("k", b"new".into(), None, soon()).await.unwrap();
         let lease = store.grant(Duration::from_mins(10), soon()).await.unwrap();
@@ -71,7 +68,7 @@
 
     /// Number of changes since the start.
     async fn changes(&self) -> i64 {
-        let fresh = Store::new(vec![url(&self.standin)]).unwrap();
+        let fresh = client([&self.standin]);
         let listing = fresh.range(&Span::Key("k".into()), soon()).await.unwrap();
         listing.revision.get() - self.revision.get()
     }
@@ -123,163 +120,77 @@
 
 /// Fault with the results that a read, a write and the opening of a watch must have, and whether a
 /// write takes effect.
-struct Case {
-    name: &'static str,
-    faults: Faults,
-    read: Expect,
-    write: Expect,
-    watch: Expect,
-    effect: bool,
-}
+type Case = (&'static str, [Expect; 3], bool);
 
-fn case(
-    name: &'static str,
-    [read, write, watch]: [Expect; 3],
-    effect: bool,
-    faults: Faults,
-) -> Case {
-    Case {
-        name,
-        faults,
-        read,
-        write,
-        watch,
-        effect,
-    }
-}
-
-fn cases() -> Vec<Case> {
+fn cases() -> [Case; 10] {
     use Expect::{Done, Ended, Lost, NotSent, Refused};
-    let none = Faults::default;
-    let (refuse, hang) = (Outage::Refuse.into(), Outage::Hang.into());
-    let limits = Faults {
-        read_limit: 1,
-        write_limit: 1,
-        limit_window_ms: 600_000,
-        ..none()
-    };
-    vec![
-        case("no fault", [Done; 3], true, none()),
-        case(
-            "refused connection",
-            [NotSent; 3],
-            false,
-            Faults {
-                outage: refuse,
-                ..none()
-            },
-        ),
-        case(
-            "silent store",
-            [Lost; 3],
-            false,
-            Faults {
-                outage: hang,
-                ..none()
-            },
-        ),
-        case(
-            "lost answer, closed",
-            [Done, Lost, Done],
-            true,
-            Faults {
-                lose_answers: 1,
-                ..none()
-            },
-        ),
-        case(
-            "lost answer, silent",
+    [
+        ("", [Done; 3], true),
+        (r#""outage": "REFUSE""#, [NotSent; 3], false),
+        (r#""outage": "HANG""#, [Lost; 3], false),
+        (r#""lose_answers": 1"#, [Done, Lost, Done], true),
+        (
+            r#""lose_answers": 1, "lose_silently": true"#,
             [Done, Lost, Done],
             true,
-            Faults {
-                lose_answers: 1,
-                lose_silently: true,
-                ..none()
-            },
-        ),
-        case(
-            "slow answer",
-            [Lost; 3],
-            true,
-            Faults {
-                latency_ms: 60_000,
-                ..none()
-            },
-        ),
-        case(
-            "stale answer",
-            [Done; 3],
-            true,
-            Faults {
-                stale_revisions: 2,
-                ..none()
-            },
-        ),
-        case(
-            "damaged JSON",
-            [Lost, Lost, Ended],
-            true,
-            Faults {
-                damage_answers: true,
-                ..none()
-            },
-        ),
-        case("over the limit, 429", [Refused(429); 3], false, limits),
-        case(
-            "over the limit, 503",
-            [Refused(503), Lost, Refused(503)],
-            false,
-            Faults {
-                refusal_status: 503,
-                ..limits
-            },
         ),
+        (r#""latency_ms": 60000"#, [Lost; 3], true),
+        (r#""stale_revisions": 2"#, [Done; 3], true),
+        (r#""damage_answers": true"#, [Lost, Lost, Ended], true),
+        (LIMITS, [Refused(429); 3], false),
+        (UNAVAILABLE, [Refused(503), Lost, Refused(503)], false),
     ]
 }
 
+/// One read and one write are within these limits.
+const LIMITS: &str = r#""read_limit": 1, "write_limit": 1, "limit_window_ms": 600000"#;
+const UNAVAILABLE: &str =
+    r#""read_limit": 1, "write_limit": 1, "limit_window_ms": 600000, "refusal_status": 503"#;
+
 /// Guards against an error that hides whether a write took effect, a write that is sent twice, and a
 /// call that outlives its deadline or leaves the client unusable.
 #[tokio::test]
 async fn each_operation_tells_what_is_known() {
     for case in cases() {
-        let runs = Kind::ALL.map(async |kind| check(&case, kind).await);
+        let runs = Kind::ALL.map(async |kind| check(case, kind).await);
         // Many wait for their deadline, so they run at the same time.
         join_all(runs).await;
     }
 }
 
-async fn check(case: &Case, kind: Kind) {
-    let name = format!("{}, {kind}", case.name);
+async fn check((faults, [read, write, watch], takes_effect): Case, kind: Kind) {
+    let name = format!("{kind} under {{{faults}}}");
     let fixture = Fixture::new().await;
     let before = fixture.arrived(kind);
-    fixture.standin.apply_faults(case.faults).await;
-    if case.faults.write_limit > 0 {
+    set_faults(&fixture.standin, faults).await;
+    if faults.contains("limit") {
         // Takes the one call of each sort that is within the limit.
         let _ = fixture.run(Kind::Range, soon()).await;
         let _ = fixture.run(Kind::KeepAlive, soon()).await;
     }
     let spent = fixture.arrived(kind) - before;
-    let result = fixture.run(kind, Deadline::after_ms(LIMIT_MS)).await;
+    let run = fixture.run(kind, Deadline::after_ms(LIMIT_MS));
+    let result = timeout(PATIENCE, run).await.expect(&name);
     let (expected, writes) = match kind {
-        Kind::Range => (case.read, false),
-        Kind::Watch => (case.watch, false),
-        _ => (case.write, true),
+        Kind::Range => (read, false),
+        Kind::Watch => (watch, false),
+        _ => (write, true),
     };
     assert_eq!(classify(&result), expected, "{name}: {result:?}");
     let arrivals = fixture.arrived(kind) - before - spent;
-    fixture.standin.apply_faults(Faults::default()).await;
-    let silent = case.faults.outage() != Outage::None;
+    set_faults(&fixture.standin, "").await;
+    let silent = faults.contains("outage");
     assert_eq!(
         arrivals,
         u32::from(!silent),
         "{name}: calls that reached the store"
     );
     if kind == Kind::Range && expected == Expect::Done {
-        let stale = case.faults.stale_revisions > 0;
+        let stale = faults.contains("stale");
         let value: &[u8] = if stale { b"old" } else { b"new" };
         assert_eq!(result.unwrap().as_deref(), Some(value), "{name}");
     }
-    let effect = if writes && case.effect {
+    let effect = if writes && takes_effect {
         changes_of(kind)
     } else {
         0
@@ -300,32 +211,25 @@
 /// against a store that is given up while another address works.
 #[tokio::test]
 async fn next_address_is_tried_only_when_that_is_safe() {
-    for outage in [Outage::Refuse, Outage::Hang] {
-        let runs = Kind::ALL.map(async |kind| check_next_address(outage, kind).await);
+    for refuses in [true, false] {
+        let runs = Kind::ALL.map(async |kind| check_next_address(refuses, kind).await);
         join_all(runs).await;
     }
 }
 
-async fn check_next_address(outage: Outage, kind: Kind) {
+async fn check_next_address(refuses: bool, kind: Kind) {
     let mut fixture = Fixture::new().await;
-    let first = Standin::start_local().await.unwrap();
-    let faults = Faults {
-        outage: outage.into(),
-        ..Faults::default()
-    };
-    first.apply_faults(faults).await;
-    fixture.store = Store::new(vec![url(&first), url(&fixture.standin)]).unwrap();
+    let (first, _) = start().await;
+    let outage = if refuses { "REFUSE" } else { "HANG" };
+    set_faults(&first, &format!(r#""outage": "{outage}""#)).await;
+    fixture.store = client([&first, &fixture.standin]);
     let before = fixture.arrived(kind);
-    let moves_on = outage == Outage::Refuse || matches!(kind, Kind::Range | Kind::Watch);
+    let moves_on = refuses || matches!(kind, Kind::Range | Kind::Watch);
     let result = fixture.run(kind, Deadline::after_ms(LIMIT_MS)).await;
     let expected = if moves_on { Expect::Done } else { Expect::Lost };
-    assert_eq!(
-        classify(&result),
-        expected,
-        "{outage:?}, {kind}: {result:?}"
-    );
+    assert_eq!(classify(&result), expected, "{outage}, {kind}: {result:?}");
     let sent = fixture.arrived(kind) - before;
-    assert_eq!(sent, u32::from(moves_on), "{outage:?}, {kind}");
+    assert_eq!(sent, u32::from(moves_on), "{outage}, {kind}");
 }
 
 /// Guards against a pooled connection that went silent and is used again, and against a write that
@@ -334,13 +238,7 @@
 async fn silent_connection_is_not_used_again() {
     let fixture = Fixture::new().await;
     fixture.run(Kind::Range, soon()).await.unwrap();
-    fixture
-        .standin
-        .apply_faults(Faults {
-            silence_connections: true,
-            ..Faults::default()
-        })
-        .await;
+    set_faults(&fixture.standin, r#""silence_connections": true"#).await;
     fixture.run(Kind::Put, soon()).await.unwrap();
     let silent = fixture.run(Kind::Range, Deadline::after_ms(LIMIT_MS)).await;
     assert_eq!(classify(&silent), Expect::Lost);
@@ -363,13 +261,7 @@
 #[tokio::test]
 async fn lapsed_lease_is_reported_by_each_operation() {
     let fixture = Fixture::new().await;
-    fixture
-        .standin
-        .apply_faults(Faults {
-            lapse_leases: true,
-            ..Faults::default()
-        })
-        .await;
+    set_faults(&fixture.standin, r#""lapse_leases": true"#).await;
     assert_eq!(
         fixture.run(Kind::KeepAlive, soon()).await,
         Err(Error::LeaseLapsed)
--- a/crates/store/tests/machine.rs
+++ b/crates/store/tests/machine.rs
@@ -2,15 +2,16 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
 mod oracle;
 
 use std::time::Duration;
 
+use common::{set_faults, soon, start};
 use oracle::{Change, Compare, Held, Oracle, Outcome, Step};
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use standin::store::Store as Standin;
-use standin::{Faults, Outage};
 use store::{Error, Lease, Operation, Revision, Span, Store, Txn, Value, Watch};
 use tokio::runtime::Runtime;
 use types::Deadline;
@@ -18,10 +19,6 @@
 /// Time in which a watch must not report anything more.
 const QUIET_MS: u64 = 20;
 
-fn soon() -> Deadline {
-    Deadline::after_ms(5000)
-}
-
 /// Client, stand-in and what the watches have reported.
 struct System {
     runtime: Runtime,
@@ -41,8 +38,7 @@
 impl System {
     fn new() -> Self {
         let runtime = Runtime::new().unwrap();
-        let standin = runtime.block_on(Standin::start_local()).unwrap();
-        let store = Store::new(vec![standin.url().parse().unwrap()]).unwrap();
+        let (standin, store) = runtime.block_on(start());
         Self {
             runtime,
             standin,
@@ -71,50 +67,25 @@
             .unwrap()
     }
 
-    async fn lose(&self, lost: bool) {
-        let lose_answers = u32::from(lost);
-        self.standin
-            .apply_faults(Faults {
-                lose_answers,
-                ..Faults::default()
-            })
-            .await;
-    }
-
     /// Runs a step; returns what the client reported.
     async fn run(&mut self, step: Step, oracle: &Oracle) -> Result<Outcome, Error> {
         let store = self.store.clone();
+        let lost = u8::from(oracle.outcome == Outcome::Lost);
+        set_faults(&self.standin, &format!(r#""lose_answers": {lost}"#)).await;
         match step {
-            Step::Put {
-                key,
-                value,
-                lease,
-                lost,
-            } => {
-                self.lose(lost).await;
+            Step::Put(key, value, lease) => {
                 let lease = lease.map(|lease| self.leases[lease]);
                 store.put(key, vec![value], lease, soon()).await?;
             }
-            Step::Delete { prefix, lost } => {
-                self.lose(lost).await;
+            Step::Delete(prefix) => {
                 let span = Span::Prefix(prefix.to_owned());
                 return store.delete(&span, soon()).await.map(Outcome::Deleted);
             }
-            Step::Txn {
-                compare,
-                put,
-                delete,
-                value,
-                lost,
-            } => {
-                self.lose(lost).await;
-                let txn = txn(compare, put, oracle.compared);
-                let txn = txn.with_then(Operation::Put {
-                    key: put.into(),
-                    bytes: vec![value],
-                    lease: None,
-                });
-                let txn = txn.with_then(Operation::Delete(delete.into()));
+            Step::Txn(compare, put, delete, value) => {
+                let (key, bytes, lease) = (put.into(), vec![value], None);
+                let txn = txn(compare, put, oracle.compared)
+                    .with_then(Operation::Put { key, bytes, lease })
+                    .with_then(Operation::Delete(delete.into()));
                 let reply = store.txn(txn, soon()).await?;
                 return Ok(Outcome::Txn(reply.succeeded));
             }
@@ -123,37 +94,26 @@
                 .push(store.grant(Duration::from_hours(1), soon()).await?),
             Step::KeepAlive(lease) => drop(store.keep_alive(self.leases[lease], soon()).await?),
             Step::Revoke(lease) => store.revoke(self.leases[lease], soon()).await?,
-            Step::Lapse => {
-                let faults = Faults {
-                    lapse_leases: true,
-                    ..Faults::default()
-                };
-                self.standin.apply_faults(faults).await;
-            }
-            Step::Watch { prefix, back } => {
+            Step::Lapse => set_faults(&self.standin, r#""lapse_leases": true"#).await,
+            Step::Watch(prefix, back) => {
                 let from = (oracle.revision - back).max(2);
-                let watch = self.open(prefix, from).await;
+                let (watch, changes) = (self.open(prefix, from).await, Vec::new());
                 self.watches.push(Reported {
                     prefix,
                     from,
                     watch,
-                    changes: Vec::new(),
+                    changes,
                 });
             }
             Step::Break => self.break_connections().await,
+            Step::LoseAnswer => {}
         }
         Ok(Outcome::Done)
     }
 
     async fn break_connections(&mut self) {
-        for outage in [Outage::Refuse, Outage::None] {
-            self.standin
-                .apply_faults(Faults {
-                    outage: outage.into(),
-                    ..Faults::default()
-                })
-                .await;
-        }
+        set_faults(&self.standin, r#""outage": "REFUSE""#).await;
+        set_faults(&self.standin, "").await;
         for index in 0..self.watches.len() {
             let reported = &mut self.watches[index];
             let error = reported.watch.next(soon()).await.unwrap_err();
--- a/crates/store/tests/oracle/mod.rs
+++ b/crates/store/tests/oracle/mod.rs
@@ -11,35 +11,23 @@
 /// Step of the test. Leases are named by the order of their creation.
 #[derive(Clone, Debug)]
 pub enum Step {
-    Put {
-        key: &'static str,
-        value: u8,
-        lease: Option<usize>,
-        lost: bool,
-    },
-    Delete {
-        prefix: &'static str,
-        lost: bool,
-    },
-    Txn {
-        compare: Compare,
-        put: &'static str,
-        delete: &'static str,
-        value: u8,
-        lost: bool,
-    },
+    /// Key, value and lease.
+    Put(&'static str, u8, Option<usize>),
+    /// Prefix.
+    Delete(&'static str),
+    /// Comparison on the first key, which is written; the second key is deleted.
+    Txn(Compare, &'static str, &'static str, u8),
     Grant,
     KeepAlive(usize),
     Revoke(usize),
     /// All leases lapse while their holders are paused.
     Lapse,
-    /// Opens a watch that starts some revisions ago.
-    Watch {
-        prefix: &'static str,
-        back: i64,
-    },
+    /// Opens a watch of a prefix that starts some revisions ago.
+    Watch(&'static str, i64),
     /// All connections are closed, and the watches are opened again.
     Break,
+    /// The answer of the next put, delete or transaction is lost.
+    LoseAnswer,
 }
 
 /// Comparison on the key that the transaction writes.
@@ -85,6 +73,7 @@
     pub outcome: Outcome,
     /// Revision that the compared key had before the last step.
     pub compared: i64,
+    losing: bool,
 }
 
 impl Oracle {
@@ -96,6 +85,7 @@
             changes: Vec::new(),
             outcome: Outcome::Done,
             compared: 0,
+            losing: false,
         }
     }
 
@@ -165,53 +155,30 @@
 
     fn run(&mut self, step: &Step) -> Outcome {
         match *step {
-            Step::Put {
-                lease: Some(lease), ..
-            } if !self.leases[lease] => Outcome::Refused,
-            Step::Put {
-                key, value, lease, ..
-            } => {
+            Step::Put(_, _, Some(lease)) if !self.leases[lease] => return Outcome::Refused,
+            Step::Put(key, value, lease) => {
                 self.revision += 1;
                 self.put(key, value, lease);
-                Outcome::Done
             }
-            Step::Delete { prefix, .. } => {
-                Outcome::Deleted(self.delete(|key, _| key.starts_with(prefix)))
+            Step::Delete(prefix) => {
+                return Outcome::Deleted(self.delete(|key, _| key.starts_with(prefix)));
             }
-            Step::Txn {
-                compare,
-                put,
-                delete,
-                value,
-                ..
-            } => self.txn(compare, put, delete, value),
-            Step::Grant => {
-                self.leases.push(true);
-                Outcome::Done
-            }
-            Step::KeepAlive(lease) if self.leases[lease] => Outcome::Done,
-            Step::KeepAlive(_) => Outcome::LeaseGone,
-            Step::Revoke(lease) => self.end_lease(lease),
+            Step::Txn(compare, put, delete, value) => return self.txn(compare, put, delete, value),
+            Step::Grant => self.leases.push(true),
+            Step::KeepAlive(lease) if !self.leases[lease] => return Outcome::LeaseGone,
+            Step::Revoke(lease) => return self.end_lease(lease),
             Step::Lapse => {
                 for lease in 0..self.leases.len() {
                     self.end_lease(lease);
                 }
-                Outcome::Done
             }
-            Step::Watch { .. } | Step::Break => Outcome::Done,
+            Step::LoseAnswer => self.losing = true,
+            Step::KeepAlive(_) | Step::Watch(..) | Step::Break => {}
         }
+        Outcome::Done
     }
 }
 
-fn loses(step: &Step) -> bool {
-    matches!(
-        step,
-        Step::Put { lost: true, .. }
-            | Step::Delete { lost: true, .. }
-            | Step::Txn { lost: true, .. }
-    )
-}
-
 fn key() -> impl Strategy<Value = &'static str> {
     prop::sample::select(KEYS.to_vec())
 }
@@ -229,10 +196,6 @@
     ]
 }
 
-fn lost() -> impl Strategy<Value = bool> {
-    prop::bool::weighted(0.2)
-}
-
 impl ReferenceStateMachine for Oracle {
     type State = Self;
     type Transition = Step;
@@ -242,39 +205,41 @@
     }
 
     fn transitions(state: &Self) -> BoxedStrategy<Step> {
-        let count = state.leases.len();
-        let lease = prop::option::of(0..count.max(1))
-            .prop_map(move |lease| lease.filter(|lease| *lease < count));
-        let named = 0..count.max(1);
+        let lease = 0..state.leases.len().max(1);
+        let txn = (compare(), key(), key(), 0..3u8);
         prop_oneof![
-            6 => (key(), 0..3u8, lease, lost())
-                .prop_map(|(key, value, lease, lost)| Step::Put { key, value, lease, lost }),
-            2 => (prefix(), lost()).prop_map(|(prefix, lost)| Step::Delete { prefix, lost }),
-            4 => (compare(), key(), key(), 0..3u8, lost()).prop_map(|(compare, put, delete, value, lost)| {
-                Step::Txn { compare, put, delete, value, lost }
-            }),
+            4 => (key(), 0..3u8).prop_map(|(key, value)| Step::Put(key, value, None)),
+            3 => (key(), 0..3u8, lease.clone())
+                .prop_map(|(key, value, lease)| Step::Put(key, value, Some(lease))),
+            2 => prefix().prop_map(Step::Delete),
+            4 => txn.prop_map(|(compare, put, delete, value)| Step::Txn(compare, put, delete, value)),
             2 => Just(Step::Grant),
-            1 => named.clone().prop_map(Step::KeepAlive),
-            1 => named.prop_map(Step::Revoke),
+            1 => lease.clone().prop_map(Step::KeepAlive),
+            1 => lease.prop_map(Step::Revoke),
             1 => Just(Step::Lapse),
-            2 => (prefix(), 0..5i64).prop_map(|(prefix, back)| Step::Watch { prefix, back }),
+            2 => (prefix(), 0..5i64).prop_map(|(prefix, back)| Step::Watch(prefix, back)),
             1 => Just(Step::Break),
+            2 => Just(Step::LoseAnswer),
         ]
         .boxed()
     }
 
     fn preconditions(state: &Self, step: &Step) -> bool {
         match step {
-            Step::KeepAlive(lease) | Step::Revoke(lease) => *lease < state.leases.len(),
-            Step::Put { lease, .. } => lease.is_none_or(|lease| lease < state.leases.len()),
-            Step::Txn { put, delete, .. } => put != delete,
+            Step::KeepAlive(lease) | Step::Revoke(lease) | Step::Put(_, _, Some(lease)) => {
+                *lease < state.leases.len()
+            }
+            Step::Txn(_, put, delete, _) => put != delete,
             _ => true,
         }
     }
 
     fn apply(mut state: Self, step: &Step) -> Self {
-        let outcome = state.run(step);
-        state.outcome = if loses(step) { Outcome::Lost } else { outcome };
+        state.outcome = state.run(step);
+        if matches!(step, Step::Put(..) | Step::Delete(_) | Step::Txn(..)) && state.losing {
+            state.losing = false;
+            state.outcome = Outcome::Lost;
+        }
         state
     }
 }
--- a/crates/store/tests/watches.rs
+++ b/crates/store/tests/watches.rs
@@ -2,24 +2,18 @@
 
 #![allow(clippy::unwrap_used)]
 
-use standin::store::Store as Standin;
-use standin::{Faults, Outage};
+mod common;
+
+use std::time::Duration;
+
+use common::{set_faults, soon, start};
 use store::{Error, Event, Revision, Span, Store, Watch};
+use tokio::time::timeout;
 use types::Deadline;
 
 /// Deadline of a watch that hears nothing.
 const SILENCE_MS: u64 = 300;
 
-fn soon() -> Deadline {
-    Deadline::after_ms(5000)
-}
-
-async fn start() -> (Standin, Store) {
-    let standin = Standin::start_local().await.unwrap();
-    let store = Store::new(vec![standin.url().parse().unwrap()]).unwrap();
-    (standin, store)
-}
-
 async fn open(store: &Store, from: Revision) -> Watch {
     let all = Span::Prefix(String::new());
     store.watch(&all, from, soon()).await.unwrap()
@@ -41,24 +35,16 @@
 /// error by its deadline, and a new watch must continue where the silent one stood.
 #[tokio::test]
 async fn silent_watch_is_noticed_and_resumed() {
-    let silent_watch = Faults {
-        watch_silent: true,
-        ..Faults::default()
-    };
-    let silent_connection = Faults {
-        silence_connections: true,
-        ..Faults::default()
-    };
-    for faults in [silent_watch, silent_connection] {
+    for faults in [r#""watch_silent": true"#, r#""silence_connections": true"#] {
         let (standin, store) = start().await;
         let first = put(&store, "a").await;
         let mut watch = open(&store, first).await;
         assert_eq!(revisions(&next(&mut watch).await.unwrap()), [first]);
-        standin.apply_faults(faults).await;
+        set_faults(&standin, faults).await;
         let second = put(&store, "a").await;
         let silent = watch.next(Deadline::after_ms(SILENCE_MS)).await;
         assert_eq!(silent, Err(Error::WatchSilent));
-        standin.apply_faults(Faults::default()).await;
+        set_faults(&standin, "").await;
         let silent = watch.next(Deadline::after_ms(SILENCE_MS)).await;
         assert_eq!(silent, Err(Error::WatchSilent), "silent for good");
         let mut resumed = open(&store, watch.next_revision()).await;
@@ -79,13 +65,8 @@
         let mut watch = open(&store, Revision::NONE).await;
         put(&store, "k").await;
         next(&mut watch).await.unwrap();
-        let skip = u32::try_from(steps.len() - 1).unwrap();
-        standin
-            .apply_faults(Faults {
-                skip_events: skip,
-                ..Faults::default()
-            })
-            .await;
+        let skip = steps.len() - 1;
+        set_faults(&standin, &format!(r#""skip_events": {skip}"#)).await;
         for step in steps {
             match *step {
                 "put" => drop(put(&store, "k").await),
@@ -109,19 +90,17 @@
 /// against a change that is reported twice.
 #[tokio::test]
 async fn skipped_creation_and_repeated_change_are_reported() {
-    for (skip_events, repeat_messages) in [(1, 0), (0, 1)] {
+    for (faults, repeats) in [
+        (r#""skip_events": 1"#, false),
+        (r#""repeat_messages": 1"#, true),
+    ] {
         let (standin, store) = start().await;
         let mut watch = open(&store, Revision::NONE).await;
-        let faults = Faults {
-            skip_events,
-            repeat_messages,
-            ..Faults::default()
-        };
-        standin.apply_faults(faults).await;
+        set_faults(&standin, faults).await;
         put(&store, "k").await;
         put(&store, "k").await;
         let mut reported = next(&mut watch).await;
-        if repeat_messages > 0 {
+        if repeats {
             reported.unwrap();
             reported = next(&mut watch).await;
         }
@@ -137,13 +116,7 @@
         put(&store, "k").await;
     }
     let newest = put(&store, "k").await;
-    let compact_before = u32::try_from(newest.get()).unwrap();
-    standin
-        .apply_faults(Faults {
-            compact_before,
-            ..Faults::default()
-        })
-        .await;
+    set_faults(&standin, &format!(r#""compact_before": {newest}"#)).await;
     let mut watch = open(&store, Revision::new(2)).await;
     assert_eq!(
         next(&mut watch).await,
@@ -156,25 +129,17 @@
 /// Guards against an event that is lost or repeated when a watch breaks and is opened again.
 #[tokio::test]
 async fn broken_watch_resumes_without_loss_or_repetition() {
-    let refuse = Faults {
-        outage: Outage::Refuse.into(),
-        ..Faults::default()
-    };
-    let damage = Faults {
-        damage_answers: true,
-        ..Faults::default()
-    };
-    for faults in [refuse, damage] {
+    for faults in [r#""outage": "REFUSE""#, r#""damage_answers": true"#] {
         let (standin, store) = start().await;
         let mut watch = open(&store, Revision::NONE).await;
         let first = put(&store, "k").await;
         assert_eq!(revisions(&next(&mut watch).await.unwrap()), [first]);
-        standin.apply_faults(faults).await;
+        set_faults(&standin, faults).await;
         // The write takes effect when the answer is damaged, and is not sent during the outage.
         let written = store.put("k", vec![], None, soon()).await.unwrap_err();
         let error = next(&mut watch).await.unwrap_err();
         assert!(matches!(error, Error::WatchEnded(_)), "{error}");
-        standin.apply_faults(Faults::default()).await;
+        set_faults(&standin, "").await;
         let last = put(&store, "k").await;
         let mut expected = vec![first.next(), last];
         expected.dedup();
@@ -197,15 +162,9 @@
 #[tokio::test]
 async fn opening_ends_by_its_deadline() {
     let (standin, store) = start().await;
-    standin
-        .apply_faults(Faults {
-            outage: Outage::Hang.into(),
-            ..Faults::default()
-        })
-        .await;
+    set_faults(&standin, r#""outage": "HANG""#).await;
     let all = Span::Prefix(String::new());
-    let opened = store
-        .watch(&all, Revision::NONE, Deadline::after_ms(SILENCE_MS))
-        .await;
+    let opened = store.watch(&all, Revision::NONE, Deadline::after_ms(SILENCE_MS));
+    let opened = timeout(Duration::from_secs(10), opened).await.unwrap();
     assert!(matches!(opened.err(), Some(Error::AnswerLost(_))));
 }
