--- a/crates/member/src/tree.rs
+++ b/crates/member/src/tree.rs
@@ -9,9 +9,15 @@
 use crate::table::{Key, Members};
 use crate::{Record, Table};
 
-/// Most candidates that are returned. It covers every node of the first three levels that a full
-/// parent could refer a child to.
-pub const CANDIDATES: usize = 16;
+/// Candidates of the level above. More would only delay a child whose whole level above is full.
+const ABOVE: usize = 8;
+
+/// Candidates of all levels above together.
+const HIGHER: usize = 12;
+
+/// Most candidates that are returned. Those after [`HIGHER`] are nodes of the own level: in a small
+/// domain chance can leave the level above too small for its children.
+pub const CANDIDATES: usize = 20;
 
 /// Peers that a started node asks for the version its address has held.
 pub const WITNESSES: usize = 4;
@@ -31,19 +37,21 @@
     let own = levels.level(mine);
     let mut keys = Vec::new();
     for level in (0..own).rev() {
-        keys.extend(ranked(members, levels.range(level), mine));
-        if keys.len() >= CANDIDATES {
+        keys.extend(
+            ranked(members, levels.range(level), mine)
+                .into_iter()
+                .take(ABOVE),
+        );
+        if keys.len() >= HIGHER {
             break;
         }
     }
+    keys.truncate(HIGHER);
     let lowest = levels.range(own).start;
     let same = members.live.range(bound(lowest)..bound(mine));
-    keys.extend(same.map(|(_, key)| *key));
+    keys.extend(same.map(|(_, key)| *key).take(CANDIDATES - keys.len()));
     let nodes = keys.into_iter().map(|key| table.record(key).id.clone());
-    nodes
-        .filter(|node| *node != me.id)
-        .take(CANDIDATES)
-        .collect()
+    nodes.filter(|node| *node != me.id).collect()
 }
 
 /// Nodes of other failure domains of the region at the level above `me`, in order of preference.
--- a/crates/spread/tests/support/publisher.rs
+++ b/crates/spread/tests/support/publisher.rs
@@ -11,10 +11,10 @@
 }
 
 fn service(number: u64, version: Version) -> Service {
-    let slots = if number == 0 { 1 + version.get() } else { 12 };
+    let deadline = 1000 + if number == 0 { version.get() } else { 0 };
     let text = format!(
-        "[service]\nname = s{number}\nowner = caroni\nslots = {slots}\n\
-         [route r{number}]\npath = /s{number}\nmethods = GET\n"
+        "[service]\nname = s{number}\nowner = caroni\n\
+         [route r{number}]\npath = /s{number}\nmethods = GET\ndeadline_ms = {deadline}\n"
     );
     let (source, findings) = Source::read("s.ini", "s.ini", &text);
     assert!(findings.is_empty(), "{findings}");
