--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -9,9 +9,9 @@
 use types::{Deadline, Fault, id};
 use wire::{Connection, Error, Part, Receiver, Sender, Stream};
 
-use crate::held::Held;
 use crate::job::Job;
 use crate::message::{self, message};
+use crate::payload::Payload;
 use crate::reply::Reply;
 use crate::{Cut, Failure, Upload};
 
@@ -31,13 +31,13 @@
 pub(crate) async fn exchange(
     connection: &Connection,
     job: &Job,
-    held: &Held,
+    payload: &Payload,
 ) -> Result<Reply, Failure> {
     let grace = Deadline::new(job.deadline.instant() + REPORT_GRACE);
     let Stream {
         mut sender,
         receiver,
-    } = open(connection, job.deadline).await?;
+    } = open(connection, job).await?;
     let head = message(Kind::Call(job.to_head(HOP_MARGIN, Instant::now())));
     let mut link = Link {
         receiver,
@@ -50,7 +50,7 @@
         Ok(sent) => sent.map_err(|error| link_lost(&error))?,
         Err(_) => return Err(silent()),
     };
-    link.upload = Some(Box::pin(send_body(sender, held.stream())));
+    link.upload = Some(Box::pin(send_body(sender, payload.stream())));
     match timeout_at(grace.instant(), link.next()).await {
         Ok(Ok(Event::Answer(head))) => reply(head, link),
         Ok(Ok(Event::Failure(failure))) => Err(failure),
@@ -61,9 +61,16 @@
     }
 }
 
-async fn open(connection: &Connection, deadline: Deadline) -> Result<Stream, Failure> {
-    let opening = connection.open(wire::Kind::Call);
-    match timeout_at(deadline.instant(), opening).await {
+/// Opens a stream. A call that must not be repeated goes over a connection that has answered lately;
+/// for the others a ping beside the call is enough.
+async fn open(connection: &Connection, job: &Job) -> Result<Stream, Failure> {
+    let opening = async {
+        if !job.repeatable {
+            connection.check(job.deadline).await?;
+        }
+        connection.open(wire::Kind::Call).await
+    };
+    match timeout_at(job.deadline.instant(), opening).await {
         Ok(Ok(stream)) => Ok(stream),
         Ok(Err(error)) => Err(Failure::mesh(format!(
             "link failed before hand-over: {error}"
