--- /dev/null
+++ b/crates/spread/tests/floor.rs
@@ -0,0 +1,97 @@
+//! Started nodes never serve a version below one that their address has held.
+
+mod support;
+
+use std::time::Duration;
+
+use standin::Outage;
+use support::{Mesh, Node};
+use types::Version;
+
+/// Guards against a node that serves without a floor while the store is down, and against one that
+/// cannot learn it from its witnesses.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_restarted_without_the_store_asks_its_witnesses() {
+    let mut mesh = Mesh::start_nodes(6).await;
+    for version in 2..4 {
+        mesh.publish(version).await;
+    }
+    mesh.wait_version(3).await;
+    mesh.pass(Duration::from_secs(3)).await;
+    mesh.set_outage(Outage::Refuse).await;
+    let member = mesh
+        .nodes
+        .iter()
+        .find(|node| !node.spread.is_reader())
+        .unwrap();
+    let (id, address) = (member.id.clone(), member.address);
+    let index: usize = id[1..].parse().unwrap();
+    mesh.take(&id).kill();
+    let config = mesh.config();
+    mesh.add_with(&id, ["a", "b"][index % 2], config, Some(address))
+        .await;
+    mesh.wait_version(3).await;
+    assert_eq!(mesh.node(&id).spread.floor(), Some(Version::new(3)));
+}
+
+/// Guards against a node that takes a floor from witnesses which have lost their memory too.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_without_witnesses_waits_for_the_store() {
+    let mut mesh = Mesh::start_nodes(2).await;
+    mesh.publish(2).await;
+    mesh.wait_version(2).await;
+    mesh.set_outage(Outage::Refuse).await;
+    let places: Vec<_> = mesh
+        .nodes
+        .iter()
+        .map(|node| (node.id.clone(), node.address))
+        .collect();
+    let seeds = mesh.config().seeds;
+    for (id, _) in &places {
+        mesh.take(id).kill();
+    }
+    for ((id, address), place) in places.into_iter().zip(["a", "b"]) {
+        let config = spread::Config::default().with_seeds(seeds.clone());
+        mesh.add_with(&id, place, config, Some(address)).await;
+    }
+    mesh.pass(Duration::from_secs(10)).await;
+    assert!(
+        mesh.nodes
+            .iter()
+            .all(|node| !node.spread.is_ready() && node.spread.floor().is_none())
+    );
+    mesh.set_outage(Outage::None).await;
+    mesh.wait_version(2).await;
+}
+
+/// Guards against one store read for each started node: requests are merged on their way up.
+#[tokio::test(flavor = "multi_thread")]
+async fn floor_requests_of_many_nodes_need_few_reads() {
+    let mut mesh = Mesh::start_nodes(2).await;
+    let before = mesh.store.counters().range;
+    let start = std::time::Instant::now();
+    for number in 2..18 {
+        mesh.add(&format!("n{number}"), ["a", "b"][number % 2])
+            .await;
+    }
+    mesh.wait_version(1).await;
+    let reads = mesh.store.counters().range - before;
+    let seconds = u32::try_from(start.elapsed().as_secs()).unwrap() + 1;
+    // Two reads a second of the reader, and at most one for each batch of requests at its children.
+    assert!(reads <= 4 * seconds + 8, "{reads} reads in {seconds} s");
+    mesh.take("n5").close().await;
+}
+
+/// Guards against a stop that does not free the address or leaves tasks behind.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_node_frees_its_address() {
+    let mut mesh = Mesh::start_nodes(3).await;
+    let node = mesh.take("n1");
+    let address = node.address;
+    node.close().await;
+    let config = mesh.config();
+    let again = Node::start("n1", "b", config, Some(mesh.client()), Some(address), None).await;
+    mesh.nodes.push(again);
+    mesh.wait_version(1).await;
+    mesh.wait_members().await;
+}
--- a/crates/spread/tests/support/node.rs
+++ b/crates/spread/tests/support/node.rs
@@ -1,8 +1,9 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
-use member::Record;
+use member::{Record, State};
 use spread::{Config, Spread};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
@@ -20,13 +21,15 @@
 }
 
 impl Node {
-    /// Starts a node in region `north` or, for a domain `region/domain`, in that region.
+    /// Starts a node in region `north` or, for a place `region/domain`, in that region. It listens
+    /// on `address` and tells others to dial `shown`, or the same address.
     pub async fn start(
         id: &str,
         place: &str,
         config: Config,
         store: Option<store::Store>,
         address: Option<SocketAddr>,
+        shown: Option<SocketAddr>,
     ) -> Self {
         let (region, domain) = place.split_once('/').unwrap_or(("north", place));
         let (id, region, domain) = (
@@ -47,7 +50,7 @@
                 let listener = listen(local).await;
                 let address = listener.local_addr().unwrap();
                 let incarnation = Incarnation::new(Timestamp::now().get());
-                let me = Record::new(id, address, region, domain, incarnation);
+                let me = Record::new(id, shown.unwrap_or(address), region, domain, incarnation);
                 let spread = Spread::start(config, me, store);
                 tokio::spawn(accept(listener, spread.clone()));
                 started.send((address, spread, Handle::current())).ok();
@@ -70,6 +73,19 @@
         self.spread.bundle().version.get()
     }
 
+    /// Ids of the nodes that this node knows as live.
+    pub fn live(&self) -> BTreeSet<String> {
+        let table = self.spread.table();
+        let live = table.iter().filter(|record| record.state.is_live());
+        live.map(|record| record.id.to_string()).collect()
+    }
+
+    /// State in which this node knows another one.
+    pub fn state_of(&self, id: &str) -> Option<State> {
+        let id = id.parse().unwrap();
+        self.spread.table().get(&id).map(|record| record.state)
+    }
+
     /// Ends the node at once, without taking leave.
     pub fn kill(self) {
         self.stop.send(()).ok();
--- a/crates/spread/tests/tree.rs
+++ b/crates/spread/tests/tree.rs
@@ -2,27 +2,204 @@
 
 mod support;
 
-use support::Mesh;
+use std::time::Duration;
 
-/// Guards against versions or records that do not reach every node of a tree.
+use member::State;
+use spread::{Config, Direction, Source};
+use support::{Mesh, Node};
+use types::size::Slots;
+
+/// Guards against versions, records or summaries that do not reach every node of a tree.
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_members_and_summaries_travel_through_the_tree() {
+    let mut mesh = Mesh::start_nodes(6).await;
+    for version in 2..6 {
+        mesh.publish(version).await;
+    }
+    mesh.wait_version(5).await;
+    let upstream = ("renewals".parse().unwrap(), Slots::new(12), State::Ready);
+    mesh.node("n3").spread.set_upstream(Some(upstream.clone()));
+    mesh.wait("the target at every node", |mesh| {
+        mesh.nodes.iter().all(|node| {
+            let table = node.spread.table();
+            let ids: Vec<_> = table
+                .targets(&upstream.0)
+                .map(|record| record.id.to_string())
+                .collect();
+            ids == ["n3"]
+        })
+    })
+    .await;
+    let reader = mesh.wait_reader().await;
+    mesh.wait("summaries at the reader", |mesh| {
+        let summaries = mesh.node(&reader).spread.summaries();
+        let current: u32 = summaries.iter().map(|summary| summary.current).sum();
+        current == 6
+            && summaries.len() == 2
+            && summaries.iter().all(|s| s.highest == 5 && s.lowest == 5)
+    })
+    .await;
+    let left = mesh.take("n4");
+    left.close().await;
+    mesh.wait("n4 has left everywhere", |mesh| {
+        mesh.nodes
+            .iter()
+            .all(|node| node.state_of("n4") == Some(State::Left))
+    })
+    .await;
+    mesh.publish(6).await;
+    mesh.wait_version(6).await;
+}
+
+/// Guards against children of a dead parent that stay behind, and against a dead node that is not
+/// reported or takes live nodes with it.
 #[tokio::test(flavor = "multi_thread")]
-async fn versions_and_members_reach_every_node() {
+async fn children_of_a_killed_parent_attach_elsewhere() {
+    let mut mesh = Mesh::start_nodes(10).await;
+    mesh.wait("an inner node", |mesh| mesh.inner_node().is_some())
+        .await;
+    let parent = mesh.inner_node().unwrap();
+    mesh.take(&parent).kill();
+    mesh.publish(2).await;
+    mesh.wait_version(2).await;
+    mesh.wait("the dead node is down", |mesh| {
+        mesh.nodes
+            .iter()
+            .all(|node| node.state_of(&parent) == Some(State::Down))
+    })
+    .await;
+    mesh.wait_members().await;
+}
+
+/// Guards against a child that hangs on a parent whose connection went silent without closing.
+#[tokio::test(flavor = "multi_thread")]
+async fn children_leave_a_silent_parent() {
+    let mut mesh = Mesh::start_nodes(2).await;
+    let mut relays = Vec::new();
+    for number in 2..10 {
+        let (listener, shown) = support::relay::Relay::bind().await;
+        let config = mesh.config();
+        let (id, place) = (format!("n{number}"), ["a", "b"][number % 2]);
+        let node = Node::start(&id, place, config, Some(mesh.client()), None, Some(shown)).await;
+        relays.push((id, support::relay::Relay::forward(listener, node.address)));
+        mesh.nodes.push(node);
+    }
+    mesh.wait_members().await;
+    let relayed_parent = |mesh: &Mesh| {
+        let parents = mesh.nodes.iter().filter_map(|node| node.spread.parent());
+        let mut parents = parents.map(|parent| parent.to_string());
+        parents.find(|parent| relays.iter().any(|(id, _)| id == parent))
+    };
+    mesh.wait("a parent behind a relay", |mesh| {
+        relayed_parent(mesh).is_some()
+    })
+    .await;
+    let parent = relayed_parent(&mesh).unwrap();
+    let (_, relay) = relays.iter().find(|(id, _)| *id == parent).unwrap();
+    relay.set_cut(true);
+    mesh.publish(2).await;
+    mesh.wait_version(2).await;
+    mesh.wait("nobody is a child of the silent node", |mesh| {
+        mesh.nodes
+            .iter()
+            .all(|node| node.spread.parent().is_none_or(|p| p.to_string() != parent))
+    })
+    .await;
+}
+
+/// Guards against comparison settings that do not work.
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_arrive_from_the_store_and_as_snapshots() {
     let mut mesh = Mesh::start().await;
     mesh.publish(1).await;
-    for (id, domain) in [
-        ("n0", "a"),
-        ("n1", "a"),
-        ("n2", "b"),
-        ("n3", "b"),
-        ("n4", "a"),
-        ("n5", "b"),
-    ] {
-        mesh.add(id, domain).await;
+    let settings = [
+        Config {
+            source: Source::Store,
+            ..Config::default()
+        },
+        Config {
+            source: Source::Store,
+            ..Config::default()
+        },
+    ];
+    for (number, config) in settings.into_iter().enumerate() {
+        let config = config.with_seeds(mesh.config().seeds);
+        mesh.add_with(&format!("n{number}"), "a", config, None)
+            .await;
     }
     mesh.wait_version(1).await;
-    mesh.wait_members().await;
-    for version in 2..6 {
-        mesh.publish(version).await;
+    mesh.publish(2).await;
+    mesh.wait_version(2).await;
+    let updates = |mesh: &Mesh| -> u64 {
+        let rows = mesh.nodes.iter().flat_map(|node| node.spread.traffic());
+        let updates = rows.filter(|row| row.kind == "update" && row.direction == Direction::Sent);
+        updates.map(|row| row.bytes.get()).sum()
+    };
+    assert_eq!(updates(&mesh), 0, "every node reads the store itself");
+
+    let mut bytes = Vec::new();
+    for deltas in [true, false] {
+        let mut mesh = Mesh::start().await;
+        mesh.publish(1).await;
+        for number in 0..3 {
+            let config = Config {
+                deltas,
+                ..mesh.config()
+            };
+            mesh.add_with(&format!("n{number}"), "a", config, None)
+                .await;
+        }
+        mesh.wait_version(1).await;
+        let before = updates(&mesh);
+        mesh.publish(2).await;
+        mesh.wait_version(2).await;
+        bytes.push(updates(&mesh) - before);
     }
-    mesh.wait_version(5).await;
+    assert!(
+        bytes[0] * 5 < bytes[1],
+        "one of 20 services changed: {bytes:?}"
+    );
+}
+
+/// Guards against a herd of restarted nodes that overloads the store or a parent with snapshots.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_of_all_nodes_stays_in_bounds() {
+    let mut mesh = Mesh::start_nodes(24).await;
+    let places: Vec<_> = mesh
+        .nodes
+        .iter()
+        .map(|node| (node.id.clone(), node.address))
+        .collect();
+    let seeds = mesh.config().seeds;
+    for (id, _) in &places {
+        mesh.take(id).kill();
+    }
+    let before = mesh.store.counters();
+    let start = std::time::Instant::now();
+    for (number, (id, address)) in places.iter().enumerate() {
+        let config = Config::default().with_seeds(seeds.clone());
+        mesh.add_with(id, ["a", "b"][number % 2], config, Some(*address))
+            .await;
+    }
+    mesh.wait_version(1).await;
+    let seconds = u32::try_from(start.elapsed().as_secs()).unwrap() + 1;
+    let after = mesh.store.counters();
+    // One reader: at most a read and a renewal each second, its snapshot of 22 reads, and the
+    // attempts of nodes without a parent, of which those answered by a seed make almost none.
+    let reads = after.range - before.range;
+    assert!(
+        reads <= 22 + 24 + 3 * seconds,
+        "{reads} reads in {seconds} s"
+    );
+    let writes = after.put + after.txn + after.grant - before.put - before.txn - before.grant;
+    assert!(writes <= 12, "{writes} writes");
+    for node in &mesh.nodes {
+        let traffic = node.spread.traffic();
+        let updates = traffic
+            .iter()
+            .filter(|row| row.kind == "update" && row.direction == Direction::Sent);
+        let sent: u64 = updates.map(|row| row.messages).sum();
+        assert!(sent <= 2 * 12, "{} sent {sent} snapshots", node.id);
+    }
+    mesh.pass(Duration::from_secs(1)).await;
 }
