Count any bytes of a peer as a sign of life, and refuse calls that would run in vain

Large answers delayed the answers to pings for more than a second, so a connection that worked was closed with all its calls: 24 answers of 3 MB at once failed in one of three test runs. Any bytes now count, and a process that got no processor time reads what has arrived first.

--- /dev/null
+++ b/crates/call/tests/load.rs
@@ -0,0 +1,232 @@
+//! Many calls at once: slots, queue, deadlines, drain, announcements and whole answers.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use call::{Answer, Request};
+use futures::future::join_all;
+use support::{
+    Behaviour, Link, Node, Relay, Upstream, World, announcement, renewal, service, status, verdict,
+};
+use tokio::time::{Instant, sleep, timeout};
+use types::{Deadline, Outcome, size};
+
+/// Sends calls side by side and returns their answers.
+async fn send_all(node: &Node, requests: Vec<Request>) -> Vec<Answer> {
+    let calls = requests.into_iter().map(|request| {
+        let caller = node.caller.clone();
+        tokio::spawn(async move { caller.call(request).await })
+    });
+    let answers = join_all(calls).await;
+    answers.into_iter().map(Result::unwrap).collect()
+}
+
+fn renewals(count: usize) -> Vec<Request> {
+    (0..count).map(|n| renewal(&format!("r{n}"))).collect()
+}
+
+/// Guards against more runs than slots, and against a refused call that ran.
+#[tokio::test]
+async fn slots_and_queue_are_never_exceeded() {
+    let world = World::new(service());
+    let upstream = Upstream::start(Behaviour::Slow(Duration::from_millis(50))).await;
+    let _target = world.target("b", upstream.address()).await;
+    let caller = world.node("a", None).await;
+    let mut verdicts: BTreeMap<String, usize> = BTreeMap::new();
+    for answer in send_all(&caller, renewals(40)).await {
+        *verdicts.entry(verdict(&answer)).or_default() += 1;
+        let runs = upstream.runs(answer.request.as_str());
+        assert_eq!(
+            runs,
+            usize::from(answer.outcome == Outcome::Ran),
+            "{}",
+            answer.reason
+        );
+        if answer.outcome == Outcome::NotRun {
+            assert_eq!(answer.reason, "queue full");
+        }
+    }
+    assert!(
+        upstream.most_running() <= 4,
+        "{} at once",
+        upstream.most_running()
+    );
+    // At least the slots of a cold target and the queue were used.
+    let ran = verdicts["ran none 200"];
+    let refused = verdicts["not-run service:renewals 503"];
+    assert!(ran >= 2 + 8 && ran + refused == 40, "{verdicts:?}");
+}
+
+/// Guards against a call that waits in a queue although its deadline cannot be met there.
+#[tokio::test]
+async fn call_with_too_short_a_deadline_is_refused_before_hand_over() {
+    let world = World::new(service());
+    let upstream = Upstream::start(Behaviour::Slow(Duration::from_millis(400))).await;
+    let target = world.target("b", upstream.address()).await;
+    assert_eq!(
+        target.caller.call(status("first")).await.outcome,
+        Outcome::Ran
+    );
+    let caller = target.caller.clone();
+    let busy = tokio::spawn(join_all((0..6).map(move |n| {
+        let caller = caller.clone();
+        async move {
+            let answer = caller.call(renewal(&format!("r{n}"))).await;
+            let told = format!("{}: {}", verdict(&answer), answer.reason);
+            // The slot is in use until the body has been read.
+            answer.body.read().await.unwrap();
+            told
+        }
+    })));
+    upstream.wait_run("r0").await;
+    let start = Instant::now();
+    let request = renewal("late").with_deadline(Deadline::after_ms(100));
+    let answer = target.caller.call(request).await;
+    assert_eq!(verdict(&answer), "not-run service:renewals 503");
+    assert_eq!(answer.reason, "deadline cannot be met");
+    assert!(
+        start.elapsed() < Duration::from_millis(100),
+        "was not refused at once"
+    );
+    for told in busy.await.unwrap() {
+        assert_eq!(told, "ran none 200: answered");
+    }
+    assert_eq!(upstream.runs("late"), 0);
+}
+
+/// Guards against a drain that cuts off a call in flight or takes a new one.
+#[tokio::test]
+async fn drain_finishes_what_runs_and_refuses_the_rest() {
+    let world = World::new(service());
+    let upstream = Upstream::start(Behaviour::Slow(Duration::from_millis(300))).await;
+    let target = world.target("b", upstream.address()).await;
+    let caller = world.node("a", None).await;
+    let running = tokio::spawn({
+        let caller = caller.caller.clone();
+        async move { join_all((0..6).map(|n| caller.call(renewal(&format!("r{n}"))))).await }
+    });
+    upstream.wait_run("r0").await;
+    let draining = tokio::spawn({
+        let target = target.target.clone();
+        async move { target.drain(Deadline::after_ms(5_000)).await }
+    });
+    let answers = running.await.unwrap();
+    let late = caller.caller.call(renewal("late")).await;
+    assert_eq!(verdict(&late), "not-run mesh 503");
+    assert_eq!(draining.await.unwrap(), 0);
+    for answer in answers {
+        let runs = upstream.runs(answer.request.as_str());
+        assert_eq!(
+            runs,
+            usize::from(answer.outcome == Outcome::Ran),
+            "{}",
+            answer.reason
+        );
+        assert_ne!(answer.outcome, Outcome::Unknown);
+    }
+    assert!(upstream.all_runs() >= 2);
+    assert_eq!(upstream.runs("late"), 0);
+}
+
+/// Guards against an upstream that stopped announcing itself and still gets work after 3 s.
+#[tokio::test]
+async fn announcement_that_is_not_renewed_lapses() {
+    let world = World::new(service());
+    let upstream = Upstream::start(Behaviour::Echo(10)).await;
+    let target = world.target("b", upstream.address()).await;
+    let mut announced = target.target.watch();
+    assert!(announced.borrow_and_update().is_some());
+    sleep(Duration::from_secs(1)).await;
+    target
+        .target
+        .announce(announcement(upstream.address()))
+        .unwrap();
+    // Renewed after 1 s, so it holds at 2.5 s and has lapsed at 4 s.
+    sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(
+        target.caller.call(renewal("r1")).await.outcome,
+        Outcome::Ran
+    );
+    sleep(Duration::from_millis(1_500)).await;
+    let answer = target.caller.call(renewal("r2")).await;
+    assert_eq!(verdict(&answer), "not-run service:renewals 503");
+    assert_eq!(upstream.runs("r2"), 0);
+    let gone = timeout(Duration::from_secs(2), announced.wait_for(Option::is_none)).await;
+    assert!(gone.is_ok(), "the upstream is still announced to others");
+}
+
+/// Guards against answers that reach another caller or lose a part when many large ones cross on one
+/// connection, some of which are read slowly or not at all.
+#[tokio::test]
+async fn large_answers_on_one_connection_reach_their_own_callers() {
+    let mut config = service();
+    (config.slots, config.connections) = (size::Slots::new(64), size::Connections::new(80));
+    let world = World::new(config);
+    let upstream = Upstream::start(Behaviour::Echo(3_000_000)).await;
+    let target = world.node("b", None).await;
+    let relay = Relay::start(target.address).await;
+    let mut wide = announcement(upstream.address());
+    (wide.slots, wide.connections) = (size::Slots::new(64), size::Connections::new(80));
+    target.target.announce(wide).unwrap();
+    world.add("b", relay.address);
+    let caller = world.node("a", None).await;
+    // These are never read, so they fill their windows and hold slots.
+    let stalled = send_all(&caller, (0..8).map(|n| status(&format!("s{n}"))).collect()).await;
+    let calls = (0..24).map(|n| {
+        let caller = caller.caller.clone();
+        let id = format!("r{n}");
+        let body = vec![b'a' + n; 200_000];
+        let request = renewal(&id)
+            .with_body(body.clone())
+            .with_deadline(Deadline::after_ms(20_000));
+        tokio::spawn(async move {
+            let answer = caller.call(request).await;
+            assert_eq!(verdict(&answer), "ran none 200", "{}", answer.reason);
+            let content = answer.body.read().await.unwrap();
+            let mut expected = format!("{id}\n").into_bytes();
+            expected.extend_from_slice(&body);
+            let rest = 3_000_000 - expected.len();
+            expected.extend(id.bytes().cycle().take(rest));
+            assert!(content == expected, "{id}: foreign or missing bytes");
+        })
+    });
+    for call in join_all(calls).await {
+        call.unwrap();
+    }
+    assert_eq!(caller.caller.connections(), 1);
+    drop(stalled);
+}
+
+/// Guards against a node that keeps sending calls over a link that has gone silent.
+#[tokio::test]
+async fn silent_link_is_replaced_by_a_new_connection() {
+    let world = World::new(service());
+    let upstream = Upstream::start(Behaviour::Echo(10)).await;
+    let target = world.node("b", None).await;
+    target
+        .target
+        .announce(announcement(upstream.address()))
+        .unwrap();
+    let relay = Relay::start(target.address).await;
+    world.add("b", relay.address);
+    let caller = world.node("a", None).await;
+    assert_eq!(
+        caller.caller.call(renewal("r1")).await.outcome,
+        Outcome::Ran
+    );
+    relay.set(Link::Silent);
+    sleep(Duration::from_millis(1_100)).await;
+    let request = renewal("r2").with_deadline(Deadline::after_ms(30_000));
+    let answer = timeout(Duration::from_secs(4), caller.caller.call(request))
+        .await
+        .unwrap();
+    assert_eq!(verdict(&answer), "not-run mesh 503", "{}", answer.reason);
+    relay.set(Link::Open);
+    let answer = caller.caller.call(renewal("r3")).await;
+    assert_eq!(verdict(&answer), "ran none 200", "{}", answer.reason);
+    assert_eq!(upstream.runs("r2"), 0);
+}
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -9,6 +9,9 @@
 /// Share of a new sample in the average service time.
 const SMOOTHING: f64 = 0.1;
 
+/// Share of a longer sample in the shortest service time, which follows a shorter one at once.
+const RISE: f64 = 0.05;
+
 /// Call that waits for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(u64);
@@ -60,6 +63,9 @@
     next_ticket: u64,
     /// Average service time, in seconds.
     service_time: f64,
+    /// Lower bound of the service time of late, in seconds. A call with less time left than this
+    /// would run in vain.
+    shortest: f64,
     refused: Refused,
     draining: bool,
 }
@@ -75,6 +81,7 @@
             queue: VecDeque::new(),
             next_ticket: 0,
             service_time: 0.0,
+            shortest: 0.0,
             refused: Refused::new(now),
             draining: false,
         }
@@ -101,7 +108,8 @@
         self.limit.set_doubted(doubted);
     }
 
-    /// Decides on a call that arrived at `now`.
+    /// Decides on a call that arrived at `now`. A call with time left that finds a free slot runs even if
+    /// it may be too slow, since nothing else needs the slot and its service time is not known.
     pub fn admit(&mut self, deadline: Deadline, now: Instant) -> Decision {
         match self.decide(deadline, now) {
             Ok(()) if self.queue.is_empty() && self.in_use < self.limit.get(now) => {
@@ -134,7 +142,7 @@
         if self.queue.len() >= self.queue_limit.get() as usize {
             return Err(Refusal::QueueFull);
         }
-        if self.wait(now) >= deadline.remaining(now) {
+        if self.wait(now) + self.shortest() >= deadline.remaining(now) {
             return Err(Refusal::Slow);
         }
         Ok(())
@@ -146,8 +154,11 @@
         let sample = took.as_secs_f64();
         if self.service_time == 0.0 {
             self.service_time = sample;
+            self.shortest = sample;
         } else {
             self.service_time += SMOOTHING * (sample - self.service_time);
+            let rise = RISE * (sample - self.shortest);
+            self.shortest = (self.shortest + rise).min(sample);
         }
     }
 
@@ -156,17 +167,13 @@
         self.in_use = self.in_use.saturating_sub(1);
     }
 
-    /// Gives a free slot to the next call in the queue whose deadline has not passed.
+    /// Gives a free slot to the next call in the queue whose deadline can still be met.
     ///
     /// Returns the ticket of each call that left the queue with its decision; call it after each
     /// change until it returns `None`.
     pub fn next(&mut self, now: Instant) -> Option<(Ticket, Result<(), Refusal>)> {
         let (_, deadline) = self.queue.front()?;
-        let refusal = match deadline.has_passed(now) {
-            _ if self.draining => Some(Refusal::Draining),
-            true => Some(Refusal::Late),
-            false => None,
-        };
+        let refusal = self.outdated(*deadline, now);
         if refusal.is_none() && self.in_use >= self.limit.get(now) {
             return None;
         }
@@ -179,6 +186,19 @@
         Some((ticket, Ok(())))
     }
 
+    /// Reason to refuse a call that waits in the queue.
+    fn outdated(&self, deadline: Deadline, now: Instant) -> Option<Refusal> {
+        if self.draining {
+            Some(Refusal::Draining)
+        } else if deadline.has_passed(now) {
+            Some(Refusal::Late)
+        } else if deadline.remaining(now) < self.shortest() {
+            Some(Refusal::Slow)
+        } else {
+            None
+        }
+    }
+
     /// Removes a call that no longer waits; false when it was not in the queue.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let place = self.queue.iter().position(|(queued, _)| *queued == ticket);
@@ -216,6 +236,10 @@
         self.limit.get(now)
     }
 
+    fn shortest(&self) -> Duration {
+        Duration::try_from_secs_f64(self.shortest).unwrap_or(Duration::MAX)
+    }
+
     /// Estimated wait of a call that arrives at `now`.
     fn wait(&self, now: Instant) -> Duration {
         let limit = self.limit.get(now);
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -9,9 +9,11 @@
 use tokio::time::timeout_at;
 use types::Deadline;
 
+use crate::liveness::Liveness;
+use crate::socket::Socket;
 use crate::{
     CONNECTION_WINDOW, Error, HEADER_LIMIT, Kind, PROTOCOL, PROTOCOL_HEADER, Receiver,
-    STREAM_WINDOW, Sender, Stream, liveness::Liveness,
+    STREAM_WINDOW, Sender, Stream,
 };
 
 /// Connection that this process dialled.
@@ -43,6 +45,8 @@
     async fn dial(peer: SocketAddr) -> Result<Self, Error> {
         let socket = TcpStream::connect(peer).await.map_err(Error::Connect)?;
         socket.set_nodelay(true).map_err(Error::Connect)?;
+        let liveness = Arc::new(Liveness::new());
+        let socket = Socket::new(socket, Arc::clone(&liveness));
         let (requests, mut connection) = Builder::new()
             .initial_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW)
@@ -53,7 +57,6 @@
         let (closing, closed) = watch::channel(false);
         let (stop, mut stopped) = watch::channel(false);
         let pings = connection.ping_pong();
-        let liveness = Arc::new(Liveness::new());
         let watching = Arc::clone(&liveness);
         tokio::spawn(async move {
             tokio::select! {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,7 +5,7 @@
 //! stream ends properly only when the sender calls [`Sender::finish`]; every other end is an
 //! [`Error`].
 //!
-//! A connection with open streams that misses a ping for [`PING_LIMIT`] is closed, and all its streams
+//! A connection with open streams from which nothing comes for [`PING_LIMIT`] after a ping is closed, and all its streams
 //! fail. [`Connection::check`] pings a connection that has been idle.
 //!
 //! ```no_run
@@ -30,6 +30,7 @@
 mod receiver;
 mod sender;
 mod server;
+mod socket;
 
 pub use connection::Connection;
 pub use error::Error;
--- a/crates/wire/src/liveness.rs
+++ b/crates/wire/src/liveness.rs
@@ -1,3 +1,5 @@
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use h2::{Ping, PingPong};
@@ -11,9 +13,13 @@
 /// would otherwise stay open for good.
 const IDLE_INTERVAL: Duration = Duration::from_mins(1);
 
-/// Longest time without an answer to a ping. With [`PING_INTERVAL`], a path that lost its state is
-/// noticed within 2 seconds.
-pub const PING_LIMIT: Duration = Duration::from_secs(1);
+/// Longest time without an answer to a ping and without any other bytes from the peer. With
+/// [`PING_INTERVAL`] and [`READ_GRACE`], a path that lost its state is noticed within 2 seconds.
+pub const PING_LIMIT: Duration = Duration::from_millis(950);
+
+/// Time in which the task of the connection may still read what has arrived, after a process that got
+/// no processor time for longer than [`PING_LIMIT`].
+const READ_GRACE: Duration = Duration::from_millis(50);
 
 /// What the streams of a connection and the task that pings the peer tell each other.
 pub(crate) struct Liveness {
@@ -23,6 +29,8 @@
     answered: watch::Sender<Instant>,
     /// Asks for a ping now.
     wake: Notify,
+    /// Number of reads that brought bytes from the peer.
+    reads: AtomicU64,
 }
 
 impl Liveness {
@@ -31,6 +39,7 @@
             streams: watch::Sender::new(0),
             answered: watch::Sender::new(Instant::now()),
             wake: Notify::new(),
+            reads: AtomicU64::new(0),
         }
     }
 
@@ -42,6 +51,11 @@
         self.streams.send_modify(|streams| *streams -= 1);
     }
 
+    /// Notes that bytes have come from the peer.
+    pub(crate) fn received(&self) {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Whether the peer is being pinged, or answered within [`PING_INTERVAL`].
     pub(crate) fn is_fresh(&self) -> bool {
         *self.streams.borrow() > 0 || self.answered.borrow().elapsed() < PING_INTERVAL
@@ -62,10 +76,10 @@
         };
         loop {
             self.wait_use().await;
-            match timeout(PING_LIMIT, pings.ping(Ping::opaque())).await {
-                Ok(Ok(_)) => self.answered.send_replace(Instant::now()),
-                Ok(Err(_)) | Err(_) => return,
-            };
+            if !self.ping(&mut pings).await {
+                return;
+            }
+            self.answered.send_replace(Instant::now());
             tokio::select! {
                 () = sleep(PING_INTERVAL) => {}
                 () = self.wake.notified() => self.wake.notify_one(),
@@ -73,6 +87,24 @@
         }
     }
 
+    /// Pings the peer; false when nothing came from it in time. An answer may be late behind the data
+    /// of large bodies, so other bytes count as well.
+    async fn ping(&self, pings: &mut PingPong) -> bool {
+        let mut answer = pin!(pings.ping(Ping::opaque()));
+        loop {
+            let before = self.reads.load(Ordering::Relaxed);
+            if let Ok(result) = timeout(PING_LIMIT, &mut answer).await {
+                return result.is_ok();
+            }
+            if self.reads.load(Ordering::Relaxed) == before {
+                sleep(READ_GRACE).await;
+            }
+            if self.reads.load(Ordering::Relaxed) == before {
+                return false;
+            }
+        }
+    }
+
     /// Waits until a stream is open, a ping is asked for or the connection has been idle for long.
     async fn wait_use(&self) {
         let mut streams = self.streams.subscribe();
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -9,9 +9,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::liveness::Liveness;
+use crate::socket::Socket;
 use crate::{
     CONNECTION_WINDOW, Error, HEADER_LIMIT, Kind, PROTOCOL, PROTOCOL_HEADER, Receiver,
-    STREAM_WINDOW, Sender, Stream, liveness::Liveness,
+    STREAM_WINDOW, Sender, Stream,
 };
 
 /// Longest time for the `h2` handshake. It bounds the memory that a slow or silent sender holds.
@@ -34,6 +36,8 @@
     F: Future<Output = ()> + Send + 'static,
 {
     socket.set_nodelay(true).map_err(Error::Connect)?;
+    let liveness = Arc::new(Liveness::new());
+    let socket = Socket::new(socket, Arc::clone(&liveness));
     let handshake = Builder::new()
         .initial_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
@@ -43,7 +47,6 @@
     let mut connection = timeout(HANDSHAKE_LIMIT, handshake)
         .await
         .map_err(|_| Error::ConnectDeadline)??;
-    let liveness = Arc::new(Liveness::new());
     let mut silent = Box::pin(liveness.watch(connection.ping_pong()));
     loop {
         tokio::select! {
