--- /dev/null
+++ b/crates/node/tests/processes/harness/process.rs
@@ -0,0 +1,103 @@
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+/// Bound for the start of a process, wide enough for a busy machine.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// A process of the test, killed by its id when dropped.
+pub struct Process {
+    child: Child,
+    words: Vec<String>,
+    /// Standard error of the process.
+    pub log: PathBuf,
+}
+
+impl Process {
+    /// Starts a program of the workspace and reads the line that names its ports.
+    pub async fn start(program: &str, arguments: &[&str], log: &Path) -> Self {
+        let output = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)
+            .unwrap();
+        let mut child = Command::new(program_path(program))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(output)
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let line = timeout(START_LIMIT, lines.next_line())
+            .await
+            .unwrap_or_else(|_| panic!("{program} has not started"))
+            .unwrap()
+            .unwrap_or_else(|| panic!("{program} ended: {}", read(log)));
+        Self {
+            child,
+            words: line.split(' ').map(str::to_owned).collect(),
+            log: log.to_owned(),
+        }
+    }
+
+    /// Word after `name` in the line that names the ports.
+    pub fn port(&self, name: &str) -> String {
+        let place = self.words.iter().position(|word| word == name).unwrap();
+        self.words[place + 1].clone()
+    }
+
+    /// Sends a signal such as `TERM`, `STOP` or `CONT`.
+    pub async fn signal(&self, name: &str) {
+        let id = self.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status().await;
+        assert!(status.unwrap().success());
+    }
+
+    /// Ends the process with SIGKILL.
+    pub async fn kill(&mut self) {
+        self.child.kill().await.unwrap();
+    }
+
+    /// Waits for the end of the process.
+    pub async fn wait(&mut self, limit: Duration) -> ExitStatus {
+        let ended = timeout(limit, self.child.wait()).await;
+        ended.expect("the process must end").unwrap()
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Resident memory in bytes.
+    pub fn resident(&self) -> u64 {
+        let status = read(Path::new(&format!("/proc/{}/status", self.id())));
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kilobytes = line.unwrap().split_whitespace().nth(1).unwrap();
+        kilobytes.parse::<u64>().unwrap() * 1024
+    }
+
+    fn id(&self) -> u32 {
+        self.child.id().expect("the process has ended")
+    }
+}
+
+/// Path of a program beside the daemon under test.
+pub fn program_path(name: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_BIN_EXE_dandelionseamd")).with_file_name(name);
+    assert!(
+        path.exists(),
+        "{name} is missing; build the workspace first: cargo build --workspace"
+    );
+    path
+}
+
+fn read(path: &Path) -> String {
+    std::fs::read_to_string(path).unwrap()
+}
