node: requests that come too late for the HTTP server during a stop are refused as not run

A connection that waits for its next request is closed at the stop. A request that was already on its way then got a closed connection, and its caller could not tell whether it had run.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -22,6 +22,10 @@
 }
 
 /// Takes or renews the announcement of the upstream.
+#[allow(
+    clippy::needless_pass_by_value,
+    reason = "the HTTP library hands the body over"
+)]
 #[post("/announce", data = "<message>")]
 fn announce(
     node: &State<Arc<Node>>,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -12,9 +12,9 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{timeout, timeout_at};
-use types::{Deadline, Incarnation, Timestamp, size};
+use types::{Deadline, Incarnation, Timestamp, Version, size};
 
-use crate::{Backend, Callers, Error, Front, Limits, Node, Relay, admin, peers};
+use crate::{Backend, Callers, Error, Front, Limits, Node, Relay, admin, headers, peers};
 
 /// Open connections of the admin port. The upstream, operators and a metrics collector use a few.
 const ADMIN_CONNECTIONS: usize = 256;
@@ -72,14 +72,16 @@
 impl Serving {
     async fn start(settings: &Settings, ports: Ports, node: &Arc<Node>) -> Result<Self, Error> {
         tokio::spawn(peers::serve(ports.peers, Arc::clone(node)));
-        let relay = Arc::new(Relay::default());
+        let relay = Arc::new(Relay::new(|| headers::refusal(Version::NONE)));
         let rocket = admin::rocket(Arc::clone(node));
         let admin = Front::start(ports.admin, relay, rocket, ADMIN_CONNECTIONS).await?;
         let limits = Limits {
             body: size::Bytes::new(settings.calls.body_limit),
             in_flight: settings.calls.in_flight as usize,
         };
-        let relay = Arc::new(Relay::default());
+        let spread = node.spread.clone();
+        let refusal = move || headers::refusal(spread.bundle().version);
+        let relay = Arc::new(Relay::new(refusal));
         let figures = Arc::clone(&node.figures);
         let callers = Callers::new(backend(node), Arc::clone(&relay), figures, limits);
         let connections = limits.in_flight + IDLE_CALLERS;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -72,6 +72,7 @@
 
     /// Ends each connection after the answer that it carries, and waits for the last one.
     pub async fn close(self) {
+        self.relay.stop();
         self.shutdown.notify();
         self.relay.wait_empty().await;
     }
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -5,7 +5,7 @@
 use call::{Answer, Failure};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use rocket::{Request, Response};
-use types::Deadline;
+use types::{Deadline, Version};
 
 /// Identity of the call; drawn when the caller sends none.
 pub const REQUEST_ID: &str = "dandelionseam-request-id";
@@ -131,6 +131,17 @@
     response.set_raw_header(REASON, answer.reason.clone());
 }
 
+/// HTTP answer to a request that came too late for a handler during a stop.
+#[must_use]
+pub fn refusal(version: Version) -> String {
+    let id = format!("{:032x}", rand::random::<u128>());
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\
+         {REQUEST_ID}: {id}\r\n{OUTCOME}: not-run\r\n{FAULT}: mesh\r\n\
+         {VERSION}: {version}\r\n{REASON}: draining\r\n\r\n"
+    )
+}
+
 fn refuse(reason: String) -> Failure {
     Failure::caller(StatusCode::BAD_REQUEST, reason)
 }
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -90,6 +90,11 @@
         *self.ended.borrow() == End::Broken
     }
 
+    /// Whether bytes of a request have come that has not reached its handler.
+    pub(crate) fn is_started(&self) -> bool {
+        self.lock().started
+    }
+
     /// Records that bytes of the caller came in.
     pub(crate) fn note_bytes(&self) {
         let mut state = self.lock();
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -1,5 +1,7 @@
 //! Contract of the caller port, with a backend in the test.
 
+#![allow(clippy::unwrap_used, reason = "a failed step ends the test")]
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,7 +33,7 @@
     };
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let relay = Arc::new(Relay::default());
+    let relay = Arc::new(Relay::new(String::new));
     let limits = Limits {
         body: size::Bytes::new(BODY_LIMIT),
         in_flight: 64,
--- a/crates/node/tests/processes/main.rs
+++ b/crates/node/tests/processes/main.rs
@@ -2,5 +2,11 @@
 //!
 //! The stand-ins and the tool are taken from the build folder of the workspace.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed step ends the test"
+)]
+
 mod harness;
 mod path;
