--- a/crates/node/tests/processes/harness/mod.rs
+++ b/crates/node/tests/processes/harness/mod.rs
@@ -1,26 +1,27 @@
 //! Starts and stops the processes of a small mesh.
 
+mod load;
 mod process;
 mod relay;
 
 use std::cell::RefCell;
 use std::fmt::Write;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Output;
 use std::time::Duration;
 
 use reqwest::{Client, Method, RequestBuilder, Response};
+use schema::standin::{Behaviour, Faults, Log, LogEntry, Runs};
 use serde::de::DeserializeOwned;
-use standin::{Behaviour, Faults, Log, LogEntry};
 use tempfile::TempDir;
 use tokio::process::Command;
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::{Instant, sleep};
 use types::report;
 
-pub use process::Process;
+pub use load::{Load, Seen};
+pub use process::{Process, program_path};
 pub use relay::Relay;
 
 /// Bound for states that the mesh reaches by itself, far above the bounds of the design.
@@ -48,7 +49,6 @@
 /// An upstream process.
 pub struct Upstream {
     pub process: Process,
-    pub service: String,
 }
 
 /// Place and settings of a node to start.
@@ -57,10 +57,6 @@
     pub id: &'static str,
     pub region: &'static str,
     pub domain: &'static str,
-    /// Further lines of the settings, by section.
-    pub settings: Vec<(&'static str, String)>,
-    /// Peer addresses to ask first; the nodes started before when empty.
-    pub seeds: Vec<String>,
     /// Store to use; the one of the mesh when empty.
     pub store: String,
 }
@@ -71,16 +67,9 @@
             id,
             region,
             domain,
-            settings: Vec::new(),
-            seeds: Vec::new(),
             store: String::new(),
         }
     }
-
-    pub fn with(mut self, section: &'static str, line: &str) -> Self {
-        self.settings.push((section, line.to_owned()));
-        self
-    }
 }
 
 /// Plans of nodes `n1`, `n2` and `n3`, each in a region of its own.
@@ -156,7 +145,6 @@
         all.extend_from_slice(arguments);
         Upstream {
             process: Process::start("standin-upstream", &all, &log).await,
-            service: service.to_owned(),
         }
     }
 
@@ -205,6 +193,12 @@
         self.get::<Log>(&url).await.entries
     }
 
+    /// Times that an upstream ran for an idempotency key or request id.
+    pub async fn runs(&self, upstream: &Upstream, key: &str) -> u32 {
+        let url = format!("http://{}/runs?key={key}", upstream.process.port("control"));
+        self.get::<Runs>(&url).await.runs
+    }
+
     /// Replaces the behaviour of an upstream.
     pub async fn set_behaviour(&self, upstream: &Upstream, behaviour: &Behaviour) {
         let url = format!("http://{}/control", upstream.process.port("control"));
@@ -233,7 +227,7 @@
         for (name, text) in files {
             std::fs::write(folder.join(name), text).unwrap();
         }
-        Command::new(process::program_path("dandelionseam"))
+        Command::new(program_path("dandelionseam"))
             .args(["publish", "--store", &self.store_url()])
             .arg(&folder)
             .kill_on_drop(true)
@@ -251,8 +245,9 @@
     }
 
     /// Sends `GET path` to a node.
-    pub async fn call(&self, node: &Node, path: &str) -> Result<Response, reqwest::Error> {
-        self.request(node, Method::GET, path).send().await
+    pub async fn call(&self, node: &Node, path: &str) -> Response {
+        let request = self.request(node, Method::GET, path);
+        request.send().await.unwrap()
     }
 
     async fn get<A>(&self, url: &str) -> A
@@ -270,10 +265,7 @@
     }
 
     fn write_settings(&self, plan: &Plan, [callers, peers, admin]: [&str; 3]) -> PathBuf {
-        let seeds = match plan.seeds.is_empty() {
-            true => self.seeds.borrow().clone(),
-            false => plan.seeds.clone(),
-        };
+        let seeds = self.seeds.borrow().join(", ");
         let store = match plan.store.is_empty() {
             true => self.store_url(),
             false => plan.store.clone(),
@@ -289,9 +281,8 @@
             ("log", "level = debug".to_owned()),
         ];
         if !seeds.is_empty() {
-            sections.push(("node", format!("seeds = {}", seeds.join(", "))));
+            sections.push(("node", format!("seeds = {seeds}")));
         }
-        sections.extend(plan.settings.iter().cloned());
         let mut text = String::new();
         for name in ["node", "listen", "store", "spread", "calls", "log"] {
             writeln!(text, "[{name}]").unwrap();
@@ -305,6 +296,15 @@
     }
 }
 
+impl Drop for Mesh {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("logs are in {}", self.folder.path().display());
+        }
+    }
+}
+
 impl Node {
     /// Base URL of a port.
     pub fn url(&self, port: &str) -> String {
@@ -328,14 +328,6 @@
     }
 }
 
-/// Calls `check` until it fails or `limit` has passed; true when it never failed.
-pub async fn holds_for<F>(limit: Duration, check: F) -> bool
-where
-    F: Future<Output = ()>,
-{
-    tokio::time::timeout(limit, check).await.is_err()
-}
-
 /// Value of a header, empty when absent.
 pub fn header(answer: &Response, name: &str) -> String {
     let value = answer.headers().get(name);
--- a/crates/node/tests/processes/harness/process.rs
+++ b/crates/node/tests/processes/harness/process.rs
@@ -13,8 +13,6 @@
 pub struct Process {
     child: Child,
     words: Vec<String>,
-    /// Standard error of the process.
-    pub log: PathBuf,
 }
 
 impl Process {
@@ -42,7 +40,6 @@
         Self {
             child,
             words: line.split(' ').map(str::to_owned).collect(),
-            log: log.to_owned(),
         }
     }
 
--- a/crates/node/tests/processes/main.rs
+++ b/crates/node/tests/processes/main.rs
@@ -8,5 +8,8 @@
     reason = "a failed step ends the test"
 )]
 
+mod change;
 mod harness;
+mod input;
 mod path;
+mod stop;
--- a/crates/node/tests/processes/path.rs
+++ b/crates/node/tests/processes/path.rs
@@ -34,7 +34,7 @@
         ("POST", "/desk/7")
     );
 
-    let none = mesh.call(&nodes[1], "/nothing").await.unwrap();
+    let none = mesh.call(&nodes[1], "/nothing").await;
     assert_eq!(none.status(), 404);
     assert_eq!(header(&none, "dandelionseam-outcome"), "not-run");
     assert_eq!(header(&none, "dandelionseam-fault"), "caller");
