--- a/crates/spread/tests/support/mod.rs
+++ b/crates/spread/tests/support/mod.rs
@@ -94,7 +94,7 @@
 
     pub async fn set_outage(&self, outage: Outage) {
         self.store
-            .set_faults(Faults {
+            .apply_faults(Faults {
                 outage: outage.into(),
                 ..Faults::default()
             })
