--- a/crates/call/tests/once.rs
+++ b/crates/call/tests/once.rs
@@ -119,7 +119,7 @@
         outage: Outage::Refuse.into(),
         ..Faults::default()
     };
-    setup.store.set_faults(down).await;
+    setup.store.apply_faults(down).await;
     assert_eq!(verdict(&call("down", "k1").await), "not-run mesh 503");
     assert_eq!(setup.upstream.runs("down"), 0);
 
@@ -130,7 +130,7 @@
             lose_silently: silently,
             ..Faults::default()
         };
-        setup.store.set_faults(lost).await;
+        setup.store.apply_faults(lost).await;
         let request = renewal(&id)
             .with_key(&*id)
             .with_deadline(Deadline::after_ms(4_000));
@@ -139,7 +139,7 @@
         assert_eq!(setup.upstream.runs(&id), 1);
         sleep(Duration::from_millis(300)).await;
     }
-    setup.store.set_faults(Faults::default()).await;
+    setup.store.apply_faults(Faults::default()).await;
 
     setup.upstream.set(Behaviour::Shed);
     assert_eq!(
@@ -237,7 +237,7 @@
     let mut ran = 0;
     for key in 0..12 {
         store
-            .set_faults(Faults {
+            .apply_faults(Faults {
                 lose_answers: random.random_range(0..3),
                 latency_ms: random.random_range(0..10),
                 ..Faults::default()
