--- a/crates/spread/tests/reader.rs
+++ b/crates/spread/tests/reader.rs
@@ -66,7 +66,7 @@
     }
     mesh.wait_version(4).await;
     mesh.store
-        .set_faults(Faults {
+        .apply_faults(Faults {
             stale_revisions: 6,
             ..Faults::default()
         })
@@ -83,7 +83,7 @@
     mesh.add_with(&id, ["a", "b"][index % 2], config, Some(address))
         .await;
     mesh.pass(Duration::from_secs(5)).await;
-    mesh.store.set_faults(Faults::default()).await;
+    mesh.store.apply_faults(Faults::default()).await;
     mesh.wait_version(4).await;
     assert!(mesh.node(&id).spread.floor() >= Some(types::Version::new(4)));
 }
@@ -93,7 +93,7 @@
 async fn versions_arrive_over_a_silent_watch_and_a_slow_store() {
     let mesh = Mesh::start_nodes(3).await;
     mesh.store
-        .set_faults(Faults {
+        .apply_faults(Faults {
             watch_silent: true,
             ..Faults::default()
         })
@@ -101,7 +101,7 @@
     mesh.publish(2).await;
     mesh.wait_version(2).await;
     mesh.store
-        .set_faults(Faults {
+        .apply_faults(Faults {
             silence_connections: true,
             ..Faults::default()
         })
@@ -109,7 +109,7 @@
     mesh.publish(3).await;
     mesh.wait_version(3).await;
     mesh.store
-        .set_faults(Faults {
+        .apply_faults(Faults {
             latency_ms: 400,
             ..Faults::default()
         })
