--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -9,6 +9,9 @@
 /// Share of a new sample in the average service time.
 const SMOOTHING: f64 = 0.1;
 
+/// Share of a longer sample in the shortest service time, which follows a shorter one at once.
+const RISE: f64 = 0.05;
+
 /// Call that waits for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(u64);
@@ -22,6 +25,8 @@
     QueueFull,
     /// The deadline passes before a slot is expected to be free.
     Slow,
+    /// The target takes no new calls.
+    Draining,
 }
 
 impl Refusal {
@@ -32,6 +37,7 @@
             Self::Late => "deadline passed before hand-over",
             Self::QueueFull => "queue full",
             Self::Slow => "deadline cannot be met",
+            Self::Draining => "draining",
         }
     }
 }
@@ -57,7 +63,11 @@
     next_ticket: u64,
     /// Average service time, in seconds.
     service_time: f64,
+    /// Lower bound of the service time of late, in seconds. A call with less time left than this
+    /// would run in vain.
+    shortest: f64,
     refused: Refused,
+    draining: bool,
 }
 
 impl Admission {
@@ -71,7 +81,9 @@
             queue: VecDeque::new(),
             next_ticket: 0,
             service_time: 0.0,
+            shortest: 0.0,
             refused: Refused::new(now),
+            draining: false,
         }
     }
 
@@ -86,7 +98,18 @@
         self.limit.restart(now);
     }
 
-    /// Decides on a call that arrived at `now`.
+    /// Refuses new calls and those in the queue, or takes calls again.
+    pub const fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
+    }
+
+    /// Lets one call run at a time while the trust in the upstream is low.
+    pub const fn set_doubted(&mut self, doubted: bool) {
+        self.limit.set_doubted(doubted);
+    }
+
+    /// Decides on a call that arrived at `now`. A call with time left that finds a free slot runs even if
+    /// it may be too slow, since nothing else needs the slot and its service time is not known.
     pub fn admit(&mut self, deadline: Deadline, now: Instant) -> Decision {
         match self.decide(deadline, now) {
             Ok(()) if self.queue.is_empty() && self.in_use < self.limit.get(now) => {
@@ -107,6 +130,9 @@
     }
 
     fn decide(&self, deadline: Deadline, now: Instant) -> Result<(), Refusal> {
+        if self.draining {
+            return Err(Refusal::Draining);
+        }
         if deadline.has_passed(now) {
             return Err(Refusal::Late);
         }
@@ -116,7 +142,7 @@
         if self.queue.len() >= self.queue_limit.get() as usize {
             return Err(Refusal::QueueFull);
         }
-        if self.wait(now) >= deadline.remaining(now) {
+        if self.wait(now) + self.shortest() >= deadline.remaining(now) {
             return Err(Refusal::Slow);
         }
         Ok(())
@@ -128,8 +154,11 @@
         let sample = took.as_secs_f64();
         if self.service_time == 0.0 {
             self.service_time = sample;
+            self.shortest = sample;
         } else {
             self.service_time += SMOOTHING * (sample - self.service_time);
+            let rise = RISE * (sample - self.shortest);
+            self.shortest = (self.shortest + rise).min(sample);
         }
     }
 
@@ -138,25 +167,38 @@
         self.in_use = self.in_use.saturating_sub(1);
     }
 
-    /// Gives a free slot to the next call in the queue whose deadline has not passed.
+    /// Gives a free slot to the next call in the queue whose deadline can still be met.
     ///
     /// Returns the ticket of each call that left the queue with its decision; call it after each
     /// change until it returns `None`.
     pub fn next(&mut self, now: Instant) -> Option<(Ticket, Result<(), Refusal>)> {
         let (_, deadline) = self.queue.front()?;
-        let late = deadline.has_passed(now);
-        if !late && self.in_use >= self.limit.get(now) {
+        let refusal = self.outdated(*deadline, now);
+        if refusal.is_none() && self.in_use >= self.limit.get(now) {
             return None;
         }
         let (ticket, _) = self.queue.pop_front()?;
-        if late {
+        if let Some(refusal) = refusal {
             self.refused.count(now);
-            return Some((ticket, Err(Refusal::Late)));
+            return Some((ticket, Err(refusal)));
         }
         self.in_use += 1;
         Some((ticket, Ok(())))
     }
 
+    /// Reason to refuse a call that waits in the queue.
+    fn outdated(&self, deadline: Deadline, now: Instant) -> Option<Refusal> {
+        if self.draining {
+            Some(Refusal::Draining)
+        } else if deadline.has_passed(now) {
+            Some(Refusal::Late)
+        } else if deadline.remaining(now) < self.shortest() {
+            Some(Refusal::Slow)
+        } else {
+            None
+        }
+    }
+
     /// Removes a call that no longer waits; false when it was not in the queue.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let place = self.queue.iter().position(|(queued, _)| *queued == ticket);
@@ -194,6 +236,10 @@
         self.limit.get(now)
     }
 
+    fn shortest(&self) -> Duration {
+        Duration::try_from_secs_f64(self.shortest).unwrap_or(Duration::MAX)
+    }
+
     /// Estimated wait of a call that arrives at `now`.
     fn wait(&self, now: Instant) -> Duration {
         let limit = self.limit.get(now);
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -39,6 +39,8 @@
 /// Switch for the connections of one server.
 pub(crate) struct Gate {
     phase: watch::Sender<Phase>,
+    /// Phase that the listening socket has reached.
+    reached: watch::Sender<Phase>,
     hanging: AtomicBool,
     /// Connections with a lower number are silent for good.
     silent_below: AtomicU64,
@@ -49,13 +51,14 @@
     fn new() -> Self {
         Self {
             phase: watch::Sender::new(Phase::Open),
+            reached: watch::Sender::new(Phase::Open),
             hanging: AtomicBool::new(false),
             silent_below: AtomicU64::new(0),
             next_connection: AtomicU64::new(0),
         }
     }
 
-    /// Refuses connections and closes the open ones, or accepts them again.
+    /// Refuses connections and closes the open ones, or accepts them again. See [`Gate::wait_settled`].
     pub(crate) fn refuse(&self, refuse: bool) {
         let wanted = if refuse { Phase::Refusing } else { Phase::Open };
         self.phase.send_if_modified(|phase| {
@@ -67,6 +70,16 @@
         });
     }
 
+    /// Waits until the listening socket has followed the last [`Gate::refuse`].
+    pub(crate) async fn wait_settled(&self) {
+        let wanted = *self.phase.borrow();
+        let mut reached = self.reached.subscribe();
+        // The sender is in `self`, so this cannot fail.
+        let _ = reached
+            .wait_for(|phase| *phase == wanted || *phase == Phase::Closed)
+            .await;
+    }
+
     /// Leaves every request without an answer, or answers those on new connections again.
     pub(crate) fn hang(&self, hang: bool) {
         self.hanging.store(hang, Ordering::SeqCst);
@@ -99,6 +112,25 @@
     }
 }
 
+/// Limits of a server.
+#[derive(Clone, Copy)]
+pub(crate) struct Limits {
+    /// Open connections; further ones are closed at once.
+    pub(crate) connections: usize,
+    /// Time that a new connection waits before its first request.
+    pub(crate) accept_delay: Duration,
+}
+
+impl Default for Limits {
+    /// Hardly any limit; it only bounds the file descriptors of a test.
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            accept_delay: Duration::ZERO,
+        }
+    }
+}
+
 /// Running server. Dropping it stops it.
 pub(crate) struct Server {
     address: SocketAddr,
@@ -107,21 +139,16 @@
 }
 
 impl Server {
-    /// Listens on `address` and answers each request with `handle`.
+    /// Listens on `address` and answers each request with the handler that `make` returns.
     ///
     /// # Errors
     ///
     /// Returns the error of the socket when the address cannot be listened on.
-    pub(crate) async fn start<H, F>(address: SocketAddr, handle: H) -> io::Result<Self>
-    where
-        H: Fn(Connection, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Result<Response<Body>, Cut>> + Send + 'static,
-    {
-        Self::start_with(address, |_| handle).await
-    }
-
-    /// Like [`Server::start`], with a handler that is made from the server's gate.
-    pub(crate) async fn start_with<M, H, F>(address: SocketAddr, make: M) -> io::Result<Self>
+    pub(crate) async fn start<M, H, F>(
+        address: SocketAddr,
+        limits: Limits,
+        make: M,
+    ) -> io::Result<Self>
     where
         M: FnOnce(Arc<Gate>) -> H,
         H: Fn(Connection, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
@@ -131,7 +158,7 @@
         let address = listener.local_addr()?;
         let gate = Arc::new(Gate::new());
         let handle = make(Arc::clone(&gate));
-        let task = tokio::spawn(run(listener, address, Arc::clone(&gate), handle));
+        let task = tokio::spawn(run(listener, limits, Arc::clone(&gate), handle));
         Ok(Self {
             address,
             gate,
@@ -150,7 +177,7 @@
     }
 
     /// Stops listening and closes the open connections.
-    pub(crate) async fn close(mut self) {
+    pub(crate) async fn stop(&mut self) {
         self.gate.phase.send_replace(Phase::Closed);
         // An error means that the task has ended, which is what is waited for.
         let _ = (&mut self.task).await;
@@ -164,23 +191,32 @@
 }
 
 /// Listens until the gate is closed.
-async fn run<H, F>(mut listener: TcpListener, address: SocketAddr, gate: Arc<Gate>, handle: H)
+async fn run<H, F>(mut listener: TcpListener, limits: Limits, gate: Arc<Gate>, handle: H)
 where
     H: Fn(Connection, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<Response<Body>, Cut>> + Send + 'static,
 {
     let mut phase = gate.phase.subscribe();
     loop {
-        accept(&listener, &gate, &handle).await;
+        accept(&listener, limits, &gate, &handle).await;
+        let Ok(address) = listener.local_addr() else {
+            break;
+        };
         drop(listener);
+        gate.reached.send_replace(Phase::Refusing);
         if !wait_reopened(&mut phase).await {
-            return;
+            break;
         }
         match rebind(address).await {
             Ok(bound) => listener = bound,
-            Err(error) => return log::error!("listen again on {address}: {error}"),
+            Err(error) => {
+                log::error!("listen again on {address}: {error}");
+                break;
+            }
         }
+        gate.reached.send_replace(Phase::Open);
     }
+    gate.reached.send_replace(Phase::Closed);
 }
 
 /// Waits for the end of an outage; `false` when the gate is closed.
@@ -196,7 +232,7 @@
 }
 
 /// Accepts connections while the gate is open, then closes them all.
-async fn accept<H, F>(listener: &TcpListener, gate: &Arc<Gate>, handle: &H)
+async fn accept<H, F>(listener: &TcpListener, limits: Limits, gate: &Arc<Gate>, handle: &H)
 where
     H: Fn(Connection, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Result<Response<Body>, Cut>> + Send + 'static,
@@ -207,11 +243,13 @@
         tokio::select! {
             () = wait_interrupted(&mut phase) => break,
             accepted = listener.accept() => match accepted {
-                Ok((socket, _)) => {
+                Ok((socket, _)) if connections.len() < limits.connections => {
                     let number = gate.next_connection.fetch_add(1, Ordering::SeqCst);
                     let connection = Connection { number, gate: Arc::clone(gate) };
-                    connections.spawn(serve(socket, connection, handle.clone()));
+                    let handle = handle.clone();
+                    connections.spawn(serve(socket, limits.accept_delay, connection, handle));
                 }
+                Ok(_) => {}
                 Err(_) => sleep(ACCEPT_WAIT).await,
             },
             Some(_) = connections.join_next() => {}
@@ -221,7 +259,7 @@
 }
 
 /// Runs one connection until it ends.
-async fn serve<H, F>(socket: TcpStream, connection: Connection, handle: H)
+async fn serve<H, F>(socket: TcpStream, delay: Duration, connection: Connection, handle: H)
 where
     H: Fn(Connection, Request<Incoming>) -> F,
     F: Future<Output = Result<Response<Body>, Cut>>,
@@ -229,6 +267,9 @@
     if socket.set_nodelay(true).is_err() {
         return;
     }
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
     let service = service_fn(|request| {
         let answer = handle(connection.clone(), request);
         let connection = connection.clone();
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -66,18 +66,17 @@
         }
     }
 
-    /// Reads a range, at `revision` when the request names none.
+    /// Reads a range as a store does whose newest revision is `newest`.
     pub(crate) fn range(
         &self,
         request: &RangeRequest,
-        revision: i64,
+        newest: i64,
     ) -> Result<RangeResponse, Refusal> {
-        let wanted = if request.revision > 0 {
-            request.revision
-        } else {
-            revision
+        let wanted = match request.revision {
+            0 => newest,
+            revision => revision,
         };
-        if wanted > self.revision {
+        if wanted > newest {
             return Err(Refusal::out_of_range(
                 "required revision is a future revision",
             ));
@@ -93,18 +92,20 @@
         } else {
             select(&self.keys_at(wanted), &span)
         };
-        Ok(self.listing(found, request.limit))
+        Ok(self.listing(found, request.limit, newest))
     }
 
-    fn listing(&self, mut found: Vec<KeyValue>, limit: i64) -> RangeResponse {
+    fn listing(&self, mut found: Vec<KeyValue>, limit: i64, newest: i64) -> RangeResponse {
         let count = found.len();
         let limit = usize::try_from(limit).unwrap_or(0);
         let more = limit > 0 && count > limit;
         if more {
             found.truncate(limit);
         }
+        let mut header = self.header();
+        header.revision = newest;
         RangeResponse {
-            header: Some(self.header()),
+            header: Some(header),
             kvs: found,
             more,
             count: i64::try_from(count).unwrap_or(i64::MAX),
@@ -165,12 +166,23 @@
         })
     }
 
+    /// Checks a list of operations; a key may be written only once in a transaction.
     fn check_operations(&self, operations: &[RequestOp]) -> Result<(), Refusal> {
         let mut written = BTreeSet::new();
+        let duplicate = || Refusal::invalid("duplicate key given in txn request");
         for put in operations.iter().filter_map(|o| o.request_put.as_ref()) {
             self.check_put(put)?;
             if !written.insert(&put.key) {
-                return Err(Refusal::invalid("duplicate key given in txn request"));
+                return Err(duplicate());
+            }
+        }
+        for delete in operations
+            .iter()
+            .filter_map(|o| o.request_delete_range.as_ref())
+        {
+            let span = Span::new(&delete.key, &delete.range_end);
+            if written.iter().any(|key| span.holds(key)) {
+                return Err(duplicate());
             }
         }
         Ok(())
@@ -323,6 +335,15 @@
         }
     }
 
+    /// Ends all leases.
+    pub(crate) fn lapse(&mut self) {
+        let ids: Vec<_> = self.leases.keys().copied().collect();
+        for id in ids {
+            // The lease was found above, so this cannot fail.
+            let _ = self.revoke(id);
+        }
+    }
+
     /// Earliest end of a lease.
     pub(crate) fn next_expiry(&self) -> Option<Instant> {
         self.leases.values().map(|lease| lease.expires).min()
