--- a/crates/bundle/tests/validation.rs
+++ b/crates/bundle/tests/validation.rs
@@ -1,5 +1,11 @@
 //! Faults of operator files and of whole configurations.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
+
 mod common;
 
 use std::fs;
@@ -33,114 +39,44 @@
         .collect()
 }
 
+/// Lines after `HEAD`, separated by `|`, and the findings expected, separated by `&&`.
+const FAULTS: &str = "
+[route r]|path = /a|methods = GET, POST|repeatable = yes =>
+[route r]|path = /|[route s]|path = /a/b.c~ =>
+[route r]|path = /a|methods = GET|[route s]|path = /a|methods = PUT =>
+[route r]|path = a => 5: route r.path: path `a` does not start with `/`
+[route r]|path = /a/ => 5: route r.path: path `/a/` has an empty segment or ends with `/`
+[route r]|path = /a/../b => 5: route r.path: path `/a/../b` has the segment `..`
+[route r]|path = /a?b => 5: route r.path: path `/a?b` holds the character '?', which a path cannot have
+[route r]|path = /a%2Fb => 5: route r.path: path `/a%2Fb` holds the character '%', which a path cannot have
+[route r]|methods = GET => 4: route r.path: required key is missing
+[route r]|path = /a|methods = post => 6: route r.methods: method `post` is none of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS (did you mean `POST`?)
+[route r]|path = /a|methods = GET, GET => 6: route r.methods: method `GET` appears twice
+[route r]|path = /a|methods = => 6: route r.methods: value is empty
+[route r/s]|path = /a => 4: route r/s: `r/s` may hold only letters, digits, `-`, `_` and `.`
+[route r]|path = /a|[route s]|path = /a|methods = GET => 7: route s.path: path `/a` with the same method is in route `r` of service `a` (a.ini) already
+[route r]|path = /a|methods = GET|[route s]|path = /a => 8: route s.path: path `/a` with the same method is in route `r` of service `a` (a.ini) already
+[route r]|path = /a|service = aa => 6: route r.service: service `aa` does not exist
+slots = 12|connections = 11 => 5: service.connections: 11 connections cannot fill 12 slots
+slots = 0|queue = x => 4: service.slots: 0 is not between 1 and 10000 && 5: service.queue: `x` is not a whole number
+[retry]|attempts = 2|budget_percent = 0 => 6: retry.budget_percent: 2 attempts contradict a retry budget of 0%
+[placement]|reach = domain|subset = 2|[retry]|attempts = 3 => 8: retry.attempts: 3 attempts are more than the 2 targets that subset 2 and reach domain allow
+[placement]|reach = all => 5: placement.reach: `all` is not one of: domain, region, any
+[routes r]|path = /a => 4: routes r: unknown section (did you mean `route`?)
+";
+
 /// Guards against a fault of one file that is accepted, or reported without its place.
 #[test]
 fn faults_of_one_file() {
-    let table: &[(&str, &[&str])] = &[
-        (
-            "[route r]\npath = /a\nmethods = GET, POST\nrepeatable = yes\n",
-            &[],
-        ),
-        ("[route r]\npath = /\n[route s]\npath = /a/b.c~\n", &[]),
-        (
-            "[route r]\npath = a\n",
-            &["a.ini:5: route r.path: path `a` does not start with `/`"],
-        ),
-        (
-            "[route r]\npath = /a/\n",
-            &["a.ini:5: route r.path: path `/a/` has an empty segment or ends with `/`"],
-        ),
-        (
-            "[route r]\npath = /a/../b\n",
-            &["a.ini:5: route r.path: path `/a/../b` has the segment `..`"],
-        ),
-        (
-            "[route r]\npath = /a?b\n",
-            &[
-                "a.ini:5: route r.path: path `/a?b` holds the character '?', which a path cannot have",
-            ],
-        ),
-        (
-            "[route r]\npath = /a%2Fb\n",
-            &[
-                "a.ini:5: route r.path: path `/a%2Fb` holds the character '%', which a path cannot have",
-            ],
-        ),
-        (
-            "[route r]\nmethods = GET\n",
-            &["a.ini:4: route r.path: required key is missing"],
-        ),
-        (
-            "[route r]\npath = /a\nmethods = post\n",
-            &[
-                "a.ini:6: route r.methods: method `post` is none of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS (did you mean `POST`?)",
-            ],
-        ),
-        (
-            "[route r]\npath = /a\nmethods = GET, GET\n",
-            &["a.ini:6: route r.methods: method `GET` appears twice"],
-        ),
-        (
-            "[route r]\npath = /a\nmethods =\n",
-            &["a.ini:6: route r.methods: value is empty"],
-        ),
-        (
-            "[route r/s]\npath = /a\n",
-            &["a.ini:4: route r/s: `r/s` may hold only letters, digits, `-`, `_` and `.`"],
-        ),
-        (
-            "[route r]\npath = /a\n[route s]\npath = /a\nmethods = GET\n",
-            &[
-                "a.ini:7: route s.path: path `/a` with the same method is in route `r` of service `a` (a.ini) already",
-            ],
-        ),
-        (
-            "[route r]\npath = /a\nmethods = GET\n[route s]\npath = /a\n",
-            &[
-                "a.ini:8: route s.path: path `/a` with the same method is in route `r` of service `a` (a.ini) already",
-            ],
-        ),
-        (
-            "[route r]\npath = /a\nmethods = GET\n[route s]\npath = /a\nmethods = PUT\n",
-            &[],
-        ),
-        (
-            "[route r]\npath = /a\nservice = aa\n",
-            &["a.ini:6: route r.service: service `aa` does not exist"],
-        ),
-        (
-            "slots = 12\nconnections = 11\n",
-            &["a.ini:5: service.connections: 11 connections cannot fill 12 slots"],
-        ),
-        (
-            "slots = 0\n",
-            &["a.ini:4: service.slots: 0 is not between 1 and 10000"],
-        ),
-        (
-            "[retry]\nattempts = 2\nbudget_percent = 0\n",
-            &["a.ini:6: retry.budget_percent: 2 attempts contradict a retry budget of 0%"],
-        ),
-        (
-            "[placement]\nreach = domain\nsubset = 2\n[retry]\nattempts = 3\n",
-            &[
-                "a.ini:8: retry.attempts: 3 attempts are more than the 2 targets that subset 2 and reach domain allow",
-            ],
-        ),
-        (
-            "[placement]\nreach = all\n",
-            &["a.ini:5: placement.reach: `all` is not one of: domain, region, any"],
-        ),
-        (
-            "[routes r]\npath = /a\n",
-            &["a.ini:4: routes r: unknown section (did you mean `route`?)"],
-        ),
-    ];
-    for (text, expected) in table {
-        assert_eq!(
-            check(&[("a.ini", &format!("{HEAD}{text}"))]),
-            *expected,
-            "{text}"
-        );
+    for line in FAULTS.trim().lines() {
+        let (text, expected) = line.split_once(" =>").unwrap();
+        let text = format!("{HEAD}{}\n", text.replace('|', "\n"));
+        let expected = expected
+            .split("&&")
+            .map(str::trim)
+            .filter(|finding| !finding.is_empty());
+        let expected: Vec<_> = expected.map(|finding| format!("a.ini:{finding}")).collect();
+        assert_eq!(check(&[("a.ini", &text)]), expected, "{text}");
     }
 }
 
--- a/crates/bundle/tests/versions.rs
+++ b/crates/bundle/tests/versions.rs
@@ -1,5 +1,11 @@
 //! Random publishing and random transfers against an oracle on plain maps.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
+
 mod common;
 
 use std::collections::{BTreeMap, HashMap};
@@ -193,10 +199,10 @@
         let mut delta = Delta::between(&self.bundles[from], &self.bundles[to]);
         match damage {
             Damage::LoseChanged(at) if !delta.changed.is_empty() => {
-                drop(delta.changed.remove(at % delta.changed.len()))
+                drop(delta.changed.remove(at % delta.changed.len()));
             }
             Damage::LoseRemoved(at) if !delta.removed.is_empty() => {
-                drop(delta.removed.remove(at % delta.removed.len()))
+                drop(delta.removed.remove(at % delta.removed.len()));
             }
             Damage::OtherTarget(version) => delta.to = Version::new(*version),
             _ => {}
--- a/crates/cli/tests/publishing.rs
+++ b/crates/cli/tests/publishing.rs
@@ -1,5 +1,11 @@
 //! Publishing under races, lost answers and outages of the store.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
+
 mod common;
 
 use std::collections::BTreeMap;
--- a/crates/settings/tests/documents.rs
+++ b/crates/settings/tests/documents.rs
@@ -1,5 +1,11 @@
 //! Faults of INI files, each with its place.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
+
 use proptest::prelude::*;
 use schema::operator;
 use settings::{Document, Settings, nearest};
@@ -18,86 +24,40 @@
     findings.sorted().iter().map(ToString::to_string).collect()
 }
 
+/// Lines of a file, separated by `|`, and the findings expected, separated by `&&`.
+const FAULTS: &str = "
+; comment|# comment|  ; comment|[retry] ; comment|attempts = 3 # comment =>
+attempts = 3 => 1: attempts: key is outside of a section
+[retry]||attempts => 3: `attempts` is neither a section header nor `key = value`
+[retry]|= 3 => 2: no key before `= 3`
+[retry|attempts = 99 => 1: `[retry` is not a section header
+[] => 1: section header is empty
+[retry] attempts] => 1: `[retry] attempts]` is not a section header
+[retry]|attempts = 2|attempts = 2 => 3: retry.attempts: key appears again; the first one is in line 2
+[retry]\r|[route a]\r|path = /\r|[retry]\r => 4: section [retry] appears again; the first one is in line 1
+[retyr]|attempts = 99 => 1: retyr: unknown section (did you mean `retry`?)
+[zebra] => 1: zebra: unknown section
+[retry]|atempts = 2 => 2: retry.atempts: unknown key (did you mean `attempts`?)
+[retry]|zebra = 2 => 2: retry.zebra: unknown key
+[retry]|attempts = two|budget_percent = 101 => 2: retry.attempts: `two` is not a whole number && 3: retry.budget_percent: 101 is not between 0 and 100
+[retry]|attempts = => 2: retry.attempts: value is empty
+[retry x]|attempts = 0 => 1: retry x: section [retry] takes no name && 2: retry x.attempts: 0 is not between 1 and 10
+[route]|path = / => 1: route: section needs a name, as in [route NAME]
+[route a]|repeatable = maybe => 1: route a.path: required key is missing && 2: route a.repeatable: `maybe` is neither yes nor no
+";
+
 /// Guards against a fault that is passed over, or reported with another line, key or suggestion.
 #[test]
 fn every_fault_is_reported_with_its_place() {
-    let table: &[(&str, &[&str])] = &[
-        ("", &[]),
-        (
-            "; comment\n# comment\n  ; comment\n[retry] ; comment\nattempts = 3 # comment",
-            &[],
-        ),
-        (
-            "attempts = 3\n",
-            &["f.ini:1: attempts: key is outside of a section"],
-        ),
-        (
-            "[retry]\n\nattempts\n",
-            &["f.ini:3: `attempts` is neither a section header nor `key = value`"],
-        ),
-        ("[retry]\n= 3\n", &["f.ini:2: no key before `= 3`"]),
-        (
-            "[retry\nattempts = 99\n",
-            &["f.ini:1: `[retry` is not a section header"],
-        ),
-        ("[]\n", &["f.ini:1: section header is empty"]),
-        (
-            "[retry] attempts]\n",
-            &["f.ini:1: `[retry] attempts]` is not a section header"],
-        ),
-        (
-            "[retry]\nattempts = 2\nattempts = 2\n",
-            &["f.ini:3: retry.attempts: key appears again; the first one is in line 2"],
-        ),
-        (
-            "[retry]\r\n[route a]\r\npath = /\r\n[retry]\r\n",
-            &["f.ini:4: section [retry] appears again; the first one is in line 1"],
-        ),
-        (
-            "[retyr]\nattempts = 99\n",
-            &["f.ini:1: retyr: unknown section (did you mean `retry`?)"],
-        ),
-        ("[zebra]\n", &["f.ini:1: zebra: unknown section"]),
-        (
-            "[retry]\natempts = 2\n",
-            &["f.ini:2: retry.atempts: unknown key (did you mean `attempts`?)"],
-        ),
-        (
-            "[retry]\nzebra = 2\n",
-            &["f.ini:2: retry.zebra: unknown key"],
-        ),
-        (
-            "[retry]\nattempts = two\nbudget_percent = 101\n",
-            &[
-                "f.ini:2: retry.attempts: `two` is not a whole number",
-                "f.ini:3: retry.budget_percent: 101 is not between 0 and 100",
-            ],
-        ),
-        (
-            "[retry]\nattempts =\n",
-            &["f.ini:2: retry.attempts: value is empty"],
-        ),
-        (
-            "[retry x]\nattempts = 0\n",
-            &[
-                "f.ini:1: retry x: section [retry] takes no name",
-                "f.ini:2: retry x.attempts: 0 is not between 1 and 10",
-            ],
-        ),
-        (
-            "[route]\npath = /\n",
-            &["f.ini:1: route: section needs a name, as in [route NAME]"],
-        ),
-        (
-            "[route a]\nrepeatable = maybe\n",
-            &[
-                "f.ini:1: route a.path: required key is missing",
-                "f.ini:2: route a.repeatable: `maybe` is neither yes nor no",
-            ],
-        ),
-    ];
-    for (text, expected) in table {
-        assert_eq!(findings(text), *expected, "{text:?}");
+    for line in FAULTS.trim().split('\n') {
+        let (text, expected) = line.split_once(" =>").unwrap();
+        let text = text.replace('|', "\n");
+        let expected = expected
+            .split("&&")
+            .map(str::trim)
+            .filter(|finding| !finding.is_empty());
+        let expected: Vec<_> = expected.map(|finding| format!("f.ini:{finding}")).collect();
+        assert_eq!(findings(&text), expected, "{text:?}");
     }
 }
 
