cli: write the pieces that a later race makes necessary

With an older base, a service can equal the newest version at first, so its piece was not written, and differ from it after another publisher went back. The next manifest then named a piece that nobody wrote. The publisher now writes the pieces that each merged manifest names; a test loses the first answer to bring the race about. Excluding own services was quadratic and is not any more.

--- a/crates/cli/src/archive.rs
+++ b/crates/cli/src/archive.rs
@@ -119,6 +119,11 @@
         self.pieces.insert(piece, service);
     }
 
+    /// Service of a piece, when it is known without reading it.
+    pub(crate) fn kept(&self, piece: &Piece) -> Option<&Service> {
+        self.pieces.get(piece).map(Arc::as_ref)
+    }
+
     /// Reads all services of a version.
     ///
     /// # Errors
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -7,6 +7,7 @@
 pub mod publish;
 pub mod status;
 
+use std::collections::HashSet;
 use std::env;
 use std::sync::Arc;
 
@@ -74,6 +75,7 @@
 ) -> Result<Vec<Arc<Service>>, Failure> {
     let manifest = archive.newest(deadline).await?.manifest;
     let mut services = archive.services(&manifest, deadline).await?;
-    services.retain(|service| folder.services().all(|own| own.name != service.name));
+    let own: HashSet<_> = folder.services().map(|service| &service.name).collect();
+    services.retain(|service| !own.contains(&service.name));
     Ok(services)
 }
--- a/crates/cli/src/publisher.rs
+++ b/crates/cli/src/publisher.rs
@@ -1,6 +1,7 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use bundle::{Bundle, Change, Conflict, Manifest, Service, merge};
+use bundle::{Bundle, Change, Conflict, Manifest, Piece, merge};
 use rand::Rng;
 use schema::bundle as message;
 use store::{Operation, Txn, keys, values};
@@ -77,7 +78,7 @@
         }
         let mut newest = self.archive.newest(deadline).await?;
         let base = self.base(order, &newest, deadline).await?;
-        let mut written = false;
+        let mut written = BTreeSet::new();
         for race in 0..RACES {
             change.published = Timestamp::now();
             let next = self.merge(&base, &newest, &change, deadline).await?;
@@ -93,11 +94,7 @@
             if order.dry_run {
                 return Ok(published(Effect::DryRun, &change, &newest.manifest, &next));
             }
-            if !written {
-                self.write_pieces(order, &change, &newest.manifest, deadline)
-                    .await?;
-                written = true;
-            }
+            self.write_pieces(&next, &mut written, deadline).await?;
             match swap(&self.archive, &newest, &next, deadline).await? {
                 Swap::Done => {
                     return Ok(published(
@@ -194,12 +191,13 @@
         deadline: Deadline,
     ) -> Result<(), Failure> {
         let services = self.archive.services(next, deadline).await?;
-        let is_own =
-            |service: &Service| order.folder.services().any(|own| own.name == service.name);
-        let others = services
-            .iter()
-            .map(Arc::as_ref)
-            .filter(|service| !is_own(service));
+        let own: BTreeSet<_> = order
+            .folder
+            .services()
+            .map(|service| &service.name)
+            .collect();
+        let others = services.iter().map(Arc::as_ref);
+        let others = others.filter(|service| !own.contains(&service.name));
         let findings = order.folder.validate(others);
         findings.or(()).map_err(Failure::Findings)?;
         let bundle =
@@ -212,22 +210,26 @@
         Ok(())
     }
 
-    /// Writes the pieces that differ from `head`. They are not visible before the swap, and writing
-    /// one twice changes nothing.
+    /// Writes the pieces of this publication that `next` names. They are not visible before the swap,
+    /// and writing one twice changes nothing.
+    ///
+    /// Which pieces these are can change between two races: with an older base, a service that equals
+    /// the newest version at first may differ from it after another publisher went back.
     async fn write_pieces(
         &self,
-        order: &Order,
-        change: &Change,
-        head: &Manifest,
+        next: &Manifest,
+        written: &mut BTreeSet<Piece>,
         deadline: Deadline,
     ) -> Result<(), Failure> {
-        let is_new = |service: &&Service| {
-            head.entries.get(&service.name).map(|entry| entry.digest)
-                != change.set.get(&service.name).map(|entry| entry.digest)
-        };
+        let pieces = next.entries.values().map(|entry| &entry.piece);
+        let own = pieces.filter(|piece| Some(&piece.publication) == next.publication.as_ref());
+        let missing: Vec<_> = own.filter(|piece| !written.contains(piece)).collect();
         let mut batch = Vec::new();
         let mut size = 0;
-        for service in order.folder.services().filter(is_new) {
+        let kept = missing
+            .iter()
+            .filter_map(|piece| Some((piece, self.archive.kept(piece)?)));
+        for (piece, service) in kept {
             let bytes = encode(&message::ServiceConfig::from(service))?;
             if size + bytes.len() > BATCH_BYTES || batch.len() == BATCH_OPERATIONS {
                 self.write_batch(std::mem::take(&mut batch), deadline)
@@ -235,14 +237,16 @@
                 size = 0;
             }
             size += bytes.len();
-            let key = keys::piece(&change.publication, &service.name);
+            let key = keys::piece(&piece.publication, &piece.service);
             batch.push(Operation::Put {
                 key,
                 bytes,
                 lease: None,
             });
         }
-        self.write_batch(batch, deadline).await
+        self.write_batch(batch, deadline).await?;
+        written.extend(missing.into_iter().cloned());
+        Ok(())
     }
 
     async fn write_batch(&self, batch: Vec<Operation>, deadline: Deadline) -> Result<(), Failure> {
--- a/crates/cli/tests/publishing.rs
+++ b/crates/cli/tests/publishing.rs
@@ -243,6 +243,37 @@
     assert_eq!(check_history(&standin).await.len(), 1);
 }
 
+/// Guards against a manifest that names a piece nobody wrote. With base 1, `a` needs no piece until
+/// another publisher goes back to version 1 of it, while the answer to the first write is awaited.
+#[tokio::test]
+async fn a_piece_that_is_needed_only_after_a_race_is_written() {
+    let standin = Standin::start_local().await.unwrap();
+    let (mut ana, mut ben) = (publisher(&standin, "ana"), publisher(&standin, "ben"));
+    for slots in [1, 2] {
+        ben.publish(&order(&[("a", slots)]), soon()).await.unwrap();
+    }
+    standin.set_faults(Faults {
+        lose_answers: 1,
+        lose_silently: true,
+        ..Faults::default()
+    });
+    let writes = standin.counters().txn;
+    let change = order(&[("a", 2), ("b", 1)]).with_base(Some(Version::new(1)));
+    let race = async {
+        let deadline = Deadline::after_ms(1500);
+        while standin.counters().txn < writes + 1 && !deadline.has_passed(Instant::now()) {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let back = ben.publish(&order(&[("a", 1)]), soon()).await;
+        assert_eq!(back.unwrap().version, Version::new(3));
+    };
+    let (done, ()) = tokio::join!(ana.publish(&change, soon()), race);
+    assert_eq!(done.unwrap().version, Version::new(4));
+    check_history(&standin).await;
+    let expected = [("a".to_owned(), 2), ("b".to_owned(), 1)];
+    assert_eq!(content(&standin, Version::new(4)).await, expected);
+}
+
 /// What one publisher was told about its runs, by publication or by failure.
 type Told = Vec<Result<cli::Published, Failure>>;
 
@@ -250,18 +281,18 @@
     let mut random = StdRng::seed_from_u64(seed);
     let own = format!("own{name}");
     let mut publisher = publisher(standin, &own);
-    let mut told = Vec::new();
+    let (mut told, mut last) = (Vec::new(), None);
     for run in 0..6 {
         let services = [
             (own.as_str(), 1 + run),
             ("shared", random.random_range(1..4)),
         ];
         let chosen = &services[..random.random_range(1..=2)];
-        told.push(
-            publisher
-                .publish(&order(chosen), Deadline::after_ms(3000))
-                .await,
-        );
+        let base = last.filter(|_| random.random_bool(0.5));
+        let order = order(chosen).with_base(base);
+        let result = publisher.publish(&order, Deadline::after_ms(3000)).await;
+        last = result.as_ref().map_or(last, |done| Some(done.version));
+        told.push(result);
     }
     told
 }
