--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -89,27 +89,48 @@
             }
             let index = (first + tried) % count;
             let limit = share(kind, deadline, now, count - tried);
-            let target = &self.addresses[index];
-            let mut result = self
-                .attempt(kind, &self.client(kind), target, body.clone(), limit, &read)
-                .await;
-            if kind == Kind::Range && is_broken(&result, limit) {
-                result = self
-                    .attempt(kind, &self.single, target, body.clone(), limit, &read)
-                    .await;
-            }
-            match result {
-                Ok(answer) => {
-                    self.preferred.store(index, Ordering::Relaxed);
-                    return Ok(answer);
-                }
+            match self.try_address(kind, index, &body, limit, &read).await {
                 Err(error) if allows_next(kind, &error) => last = error,
-                Err(error) => return Err(error),
+                result => return result,
             }
         }
         Err(last)
     }
 
+    /// Tries one address, twice for a read whose connection broke. The next call starts with this
+    /// address after an answer, and with the one behind it after a lost answer.
+    async fn try_address<T, R>(
+        &self,
+        kind: Kind,
+        index: usize,
+        body: &Bytes,
+        limit: Deadline,
+        read: &R,
+    ) -> Result<T, Error>
+    where
+        R: AsyncFn(Response) -> Result<T, Error>,
+    {
+        let address = &self.addresses[index];
+        let client = self.client(kind);
+        let mut result = self
+            .attempt(kind, &client, address, body.clone(), limit, read)
+            .await;
+        if kind == Kind::Range && is_broken(&result, limit) {
+            result = self
+                .attempt(kind, &self.single, address, body.clone(), limit, read)
+                .await;
+        }
+        match &result {
+            Ok(_) => self.preferred.store(index, Ordering::Relaxed),
+            Err(Error::AnswerLost(_)) => {
+                let behind = (index + 1) % self.addresses.len();
+                self.preferred.store(behind, Ordering::Relaxed);
+            }
+            Err(_) => {}
+        }
+        result
+    }
+
     /// Sends a call to one address.
     async fn attempt<T, R>(
         &self,
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -170,7 +170,8 @@
     }
     let spent = fixture.arrived(kind) - before;
     let run = fixture.run(kind, Deadline::after_ms(LIMIT_MS));
-    let result = timeout(PATIENCE, run).await.expect(&name);
+    let result = timeout(PATIENCE, run).await;
+    let result = result.unwrap_or_else(|_| panic!("{name}: outlives its deadline"));
     let (expected, writes) = match kind {
         Kind::Range => (read, false),
         Kind::Watch => (watch, false),
@@ -230,6 +231,11 @@
     assert_eq!(classify(&result), expected, "{outage}, {kind}: {result:?}");
     let sent = fixture.arrived(kind) - before;
     assert_eq!(sent, u32::from(moves_on), "{outage}, {kind}");
+    let again = fixture.run(kind, soon()).await;
+    assert!(
+        again.is_ok() || kind == Kind::Revoke,
+        "{outage}, {kind}: {again:?}"
+    );
 }
 
 /// Guards against a pooled connection that went silent and is used again, and against a write that
