Bound the memory of table exchanges and keep greetings out of the membership news

Greetings take sequences of their own without spreading them, so a herd of refused attempts does not travel through the mesh. Table exchanges build the records of 16 buckets at a time in messages of at most 250 records. Roots keep half of their places for the tops of failure domains.

--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::{SecondaryMap, SlotMap, new_key_type};
 use tokio::time::Instant;
 use types::id;
 
@@ -261,6 +261,28 @@
         all.filter(move |(_, members)| members.region == *region)
     }
 
+    /// Nodes whose chain of parents leads to `node` and that have not gone.
+    pub(crate) fn descendants(&self, node: &id::Node) -> SecondaryMap<Key, ()> {
+        let mut found = SecondaryMap::new();
+        let mut open = vec![node];
+        while let Some(parent) = open.pop() {
+            for key in self.children.get(parent).into_iter().flatten() {
+                let record = &self.entries[*key].record;
+                // Records in flight may name each other as parents for a moment.
+                let is_new = !record.state.is_gone() && record.id != *node;
+                if is_new && found.insert(*key, ()).is_none() {
+                    open.push(&record.id);
+                }
+            }
+        }
+        found
+    }
+
+    /// Records with their keys, in no particular order.
+    pub(crate) fn keyed(&self) -> impl Iterator<Item = (Key, &Record)> {
+        self.entries.iter().map(|(key, entry)| (key, &entry.record))
+    }
+
     pub(crate) fn record(&self, key: Key) -> &Record {
         &self.entries[key].record
     }
--- a/crates/member/src/tree.rs
+++ b/crates/member/src/tree.rs
@@ -151,31 +151,22 @@
 /// Nodes whose chain of parents leads to `lost` and that have not gone.
 #[must_use]
 pub fn orphans(table: &Table, lost: &id::Node) -> Vec<id::Node> {
-    let mut seen = BTreeSet::from([lost.clone()]);
-    let mut nodes = Vec::new();
-    let mut open = vec![lost.clone()];
-    while let Some(parent) = open.pop() {
-        for child in table.children(&parent) {
-            // Records in flight may name each other as parents for a moment.
-            if seen.insert(child.id.clone()) {
-                nodes.push(child.id.clone());
-                open.push(child.id.clone());
-            }
-        }
-    }
-    nodes
+    let keys = table.descendants(lost);
+    keys.keys()
+        .map(|key| table.record(key).id.clone())
+        .collect()
 }
 
 /// Nodes of the region of `root` that have not gone and whose chain of parents does not lead to it.
 /// Other roots of the region are among them: nobody else would report a reader that has died.
 #[must_use]
 pub fn detached(table: &Table, root: &Record) -> Vec<id::Node> {
-    let attached: BTreeSet<_> = orphans(table, &root.id).into_iter().collect();
-    let records = table.iter().filter(|record| {
-        record.region == root.region && record.id != root.id && !record.state.is_gone()
+    let attached = table.descendants(&root.id);
+    let records = table.keyed().filter(|(key, record)| {
+        record.region == root.region && !record.state.is_gone() && !attached.contains_key(*key)
     });
-    let detached = records.filter(|record| !attached.contains(&record.id));
-    detached.map(|record| record.id.clone()).collect()
+    let others = records.filter(|(_, record)| record.id != root.id);
+    others.map(|(_, record)| record.id.clone()).collect()
 }
 
 /// Whether `parent` may have `child` as a child without risk of a cycle.
--- a/crates/spread/src/child.rs
+++ b/crates/spread/src/child.rs
@@ -42,7 +42,6 @@
         permit,
         wants_snapshot: false,
         ticket: None,
-        summaries: Vec::new(),
     };
     let lost = match side.serve(&mut link, known).await {
         Ok(()) => Lost::Closed,
@@ -83,8 +82,11 @@
     } else {
         None
     };
+    let limit = {
+        let table = shared.table();
+        placement::child_limit(&table, &me, child, &shared.config)
+    };
     let mut children = shared.children();
-    let limit = shared.config.children;
     children.check((&me, shared.role()), child, limit, now)?;
     let state = Child {
         link: number,
@@ -206,7 +208,6 @@
     wants_snapshot: bool,
     /// Ticket of the floor request of the child.
     ticket: Option<u64>,
-    summaries: Vec<control::DomainSummary>,
 }
 
 impl Side {
@@ -296,8 +297,7 @@
 
     async fn beat(&mut self, link: &Link) -> Result<(), Lost> {
         self.check_place()?;
-        let mut heartbeat = self.shared.heartbeat(&mut self.summaries);
-        heartbeat.summaries.clear();
+        let heartbeat = self.shared.short_heartbeat();
         link.send(Kind::Heartbeat(heartbeat)).await
     }
 
--- a/crates/spread/src/dial.rs
+++ b/crates/spread/src/dial.rs
@@ -73,11 +73,9 @@
     Some(link)
 }
 
-/// Greeting with a new sequence, so that the record which a parent makes of it wins over those that
-/// earlier attempts have left elsewhere.
 fn hello(shared: &Shared, kind: control::Link) -> Option<Hello> {
     let me = match kind {
-        control::Link::Parent => shared.update_me(|me| me.parent = None)?,
+        control::Link::Parent => shared.greeting()?,
         _ => shared.me()?,
     };
     let bundle = shared.bundle();
--- a/crates/spread/src/exchange.rs
+++ b/crates/spread/src/exchange.rs
@@ -1,3 +1,5 @@
+use std::collections::VecDeque;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,14 +19,17 @@
 /// Longest time between two comparisons on one link while the tables go on differing.
 const COMPARISON_LIMIT: Duration = Duration::from_secs(40);
 
-/// Records in one message.
-const RECORDS: usize = 1000;
+/// Buckets whose records are put into messages at the same time. A parent that sends whole tables to
+/// all its children at once would otherwise hold a dozen copies.
+const GROUP: usize = 16;
 
 /// Exchange of membership on one link.
 pub(crate) struct Exchange {
     shared: Shared,
     origin: Origin,
     batches: broadcast::Receiver<Arc<Batch>>,
+    /// Messages of the last batch that have not been sent.
+    waiting: VecDeque<Records>,
     /// Whether this side starts comparisons: the side that dialled.
     starts: bool,
     differ_since: Option<Instant>,
@@ -37,6 +42,7 @@
             shared: shared.clone(),
             origin,
             batches: shared.news.subscribe(),
+            waiting: VecDeque::new(),
             starts,
             differ_since: None,
             patience: DIFFERENCE_LIMIT,
@@ -47,11 +53,12 @@
     /// peer compares tables when it comes back.
     pub(crate) async fn next(&mut self) -> Result<Records, Lost> {
         loop {
+            if let Some(news) = self.waiting.pop_front() {
+                return Ok(news);
+            }
             match self.batches.recv().await {
                 Ok(batch) => {
-                    if let Some(news) = news::for_link(&batch, self.origin) {
-                        return Ok(news);
-                    }
+                    self.waiting = news::for_link(&batch, self.origin).into();
                 }
                 Err(broadcast::error::RecvError::Lagged(_)) => return Err(Lost::Slow),
                 Err(broadcast::error::RecvError::Closed) => return Err(Lost::Stop),
@@ -95,8 +102,11 @@
         if buckets.digests.len() != BUCKETS {
             return Err(Lost::Unexpected);
         }
-        for records in self.differing(&buckets.digests) {
-            link.send(Kind::Records(records)).await?;
+        let marked = self.shared.table().differing(&buckets.digests);
+        for first in (0..BUCKETS).step_by(GROUP) {
+            for records in self.records(&marked, first..first + GROUP) {
+                link.send(Kind::Records(records)).await?;
+            }
         }
         if !buckets.answer {
             link.send(self.buckets(true)).await?;
@@ -109,21 +119,20 @@
         Kind::Buckets(Buckets { digests, answer })
     }
 
-    /// Records of the buckets that differ, in messages of bounded size.
-    fn differing(&self, theirs: &[u64]) -> Vec<Records> {
+    /// Records of the marked buckets of a group, in messages of bounded size.
+    fn records(&self, marked: &[bool; BUCKETS], group: Range<usize>) -> Vec<Records> {
+        let mut part = [false; BUCKETS];
+        part[group.clone()].copy_from_slice(&marked[group]);
+        if !part.contains(&true) {
+            return Vec::new();
+        }
         let now = Instant::now();
         let table = self.shared.table();
-        let marked = table.differing(theirs);
-        let records: Vec<_> = table
-            .records_in(&marked, now)
-            .map(|(record, age)| {
-                record.to_message(u32::try_from(age.as_secs()).unwrap_or(u32::MAX))
-            })
-            .collect();
-        let chunks = records.chunks(RECORDS).map(|records| Records {
-            records: records.to_vec(),
-            changes: Vec::new(),
-        });
-        chunks.collect()
+        let mut messages = Vec::new();
+        for (record, age) in table.records_in(&part, now) {
+            let message = record.to_message(u32::try_from(age.as_secs()).unwrap_or(u32::MAX));
+            news::add_record(&mut messages, message);
+        }
+        messages
     }
 }
--- a/crates/spread/src/link.rs
+++ b/crates/spread/src/link.rs
@@ -11,8 +11,9 @@
 use crate::shared::Shared;
 use crate::traffic::{Direction, kind_name};
 
-/// Messages that wait in the queue of one link. A snapshot takes a few of them.
-const QUEUE: usize = 64;
+/// Messages that wait in the queue of one link. With parts of bounded size this bounds the memory that
+/// a slow peer holds.
+const QUEUE: usize = 16;
 
 /// Longest wait for the queue of a link that is closed as planned.
 const FLUSH_LIMIT: Duration = Duration::from_millis(500);
--- a/crates/spread/src/news.rs
+++ b/crates/spread/src/news.rs
@@ -17,6 +17,9 @@
 /// Batches that a link may fall behind before it is dropped.
 const BACKLOG: usize = 64;
 
+/// Records and changes in one message.
+const RECORDS: usize = 250;
+
 /// Where a piece of news came from; it is not sent back there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Origin {
@@ -109,17 +112,31 @@
     }
 }
 
-/// Messages of a batch for the link that `link` stands for; `None` when there are none.
-pub(crate) fn for_link(batch: &Batch, link: Origin) -> Option<Records> {
-    let mut news = Records::default();
+/// Messages of a batch for the link that `link` stands for.
+pub(crate) fn for_link(batch: &Batch, link: Origin) -> Vec<Records> {
+    let mut messages = Vec::new();
     for item in batch.iter().filter(|item| item.origin.goes_to(link)) {
         match &item.content {
-            Content::Record(record) => news.records.push(record.clone()),
-            Content::Change(change) => news.changes.push(change.clone()),
+            Content::Record(record) => add_record(&mut messages, record.clone()),
+            Content::Change(change) => room(&mut messages).changes.push(change.clone()),
         }
     }
-    let empty = news.records.is_empty() && news.changes.is_empty();
-    (!empty).then_some(news)
+    messages
+}
+
+/// Adds a record to the last message, or to a new one when that is full.
+pub(crate) fn add_record(messages: &mut Vec<Records>, record: Record) {
+    room(messages).records.push(record);
+}
+
+/// Message with room for one more record or change.
+fn room(messages: &mut Vec<Records>) -> &mut Records {
+    let full = |message: &Records| message.records.len() + message.changes.len() >= RECORDS;
+    if messages.last().is_none_or(full) {
+        messages.push(Records::default());
+    }
+    let last = messages.len() - 1;
+    &mut messages[last]
 }
 
 /// Sends batches: the first news after a pause at once, then at most one batch in each window.
--- a/crates/spread/src/placement.rs
+++ b/crates/spread/src/placement.rs
@@ -5,6 +5,8 @@
 use member::{Record, State, Table};
 use types::id;
 
+use crate::Config;
+
 /// Most addresses that a refusal names.
 const ALTERNATIVES: usize = 8;
 
@@ -45,6 +47,25 @@
     nodes.contains(parent)
 }
 
+/// Most children that `me` may have for `child` to be accepted. Nodes that a root takes only because
+/// they have found no place in their own failure domain leave half of the room to the tops of the
+/// failure domains, which have no other parent.
+#[must_use]
+pub fn child_limit(table: &Table, me: &Record, child: &Record, config: &Config) -> usize {
+    let in_order = member::may_adopt(
+        &Record {
+            root: false,
+            ..me.clone()
+        },
+        child,
+    );
+    if in_order || member::candidates(table, child, config.fanout).is_empty() {
+        config.children
+    } else {
+        config.children / 2
+    }
+}
+
 /// Whether the node may try to take the reader lease: it is one of the two reader candidates of
 /// its region and has heard of other nodes, or no peer has answered it.
 #[must_use]
--- a/crates/spread/src/shared.rs
+++ b/crates/spread/src/shared.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Deref;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 
 use arc_swap::ArcSwap;
@@ -74,6 +74,8 @@
     regions: Mutex<BTreeMap<id::Region, Region>>,
     convergence_ms: AtomicU64,
     links: AtomicU64,
+    /// Highest sequence used in a greeting.
+    greeted: AtomicU32,
 }
 
 /// Service, slots and state of the upstream beside the node.
@@ -152,6 +154,7 @@
             regions: Mutex::default(),
             convergence_ms: AtomicU64::new(0),
             links: AtomicU64::new(1),
+            greeted: AtomicU32::new(0),
         }))
     }
 }
@@ -281,13 +284,26 @@
         let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
         let mut me = table.get(&self.place.id)?.clone();
         change(&mut me);
-        me.sequence = me.sequence.saturating_add(1);
+        let greeted = self.greeted.load(Ordering::Relaxed);
+        me.sequence = me.sequence.max(greeted).saturating_add(1);
         let merge = table.merge(me.clone(), Instant::now());
         drop(table);
         self.news.publish(&me.id, Origin::Own, merge);
         Some(me)
     }
 
+    /// Own record for a greeting to a parent, with a sequence of its own: the record that a parent
+    /// makes of it wins over those that earlier attempts have left elsewhere. It is not spread from
+    /// here, since most attempts of a herd are refused.
+    pub(crate) fn greeting(&self) -> Option<Record> {
+        let mut me = self.me()?;
+        me.parent = None;
+        let greeted = self.greeted.fetch_max(me.sequence, Ordering::Relaxed);
+        me.sequence = me.sequence.max(greeted).saturating_add(1);
+        self.greeted.fetch_max(me.sequence, Ordering::Relaxed);
+        Some(me)
+    }
+
     /// Sets the role; the own record follows.
     pub(crate) fn set_role(&self, role: Role) {
         let now = Instant::now();
@@ -468,6 +484,15 @@
         }
     }
 
+    /// Heartbeat without summaries, for links that do not carry them.
+    pub(crate) fn short_heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            version: self.version().get(),
+            table: self.table().digest(),
+            summaries: Vec::new(),
+        }
+    }
+
     /// Whether versions travel along the tree.
     pub(crate) fn carries_versions(&self) -> bool {
         self.config.source == Source::Tree
--- a/crates/spread/src/standby.rs
+++ b/crates/spread/src/standby.rs
@@ -148,11 +148,7 @@
 }
 
 async fn send_beat(shared: &Shared, link: &Link) -> Result<(), Lost> {
-    let heartbeat = control::Heartbeat {
-        version: shared.version().get(),
-        ..control::Heartbeat::default()
-    };
-    link.send(Kind::Heartbeat(heartbeat)).await
+    link.send(Kind::Heartbeat(shared.short_heartbeat())).await
 }
 
 /// Serves a child that has chosen this node as its standby.
