member: keep each tree within its region

Cause: a node that started with seeds of another region was accepted by that region's root. The root of its own region reported it and its children as detached every second, and each of them refuted it: at 40 nodes in 4 regions, 592 KB of records in 60 s. Excluded: anti-entropy and start-up traffic, since the log names the same three nodes each second. Change: a parent belongs to the region of its child.

--- a/crates/member/src/tree.rs
+++ b/crates/member/src/tree.rs
@@ -169,10 +169,12 @@
     others.map(|(_, record)| record.id.clone()).collect()
 }
 
-/// Whether `parent` may have `child` as a child without risk of a cycle.
+/// Whether `parent` may have `child` as a child without risk of a cycle. A tree never leaves its
+/// region: the root of the child's own region would report the child as detached.
 #[must_use]
 pub fn may_adopt(parent: &Record, child: &Record) -> bool {
-    parent.root || (parent.domain == child.domain && priority(&parent.id) < priority(&child.id))
+    let precedes = parent.domain == child.domain && priority(&parent.id) < priority(&child.id);
+    parent.region == child.region && (parent.root || precedes)
 }
 
 /// Level of `me` in its failure domain.
--- a/crates/member/tests/tree.rs
+++ b/crates/member/tests/tree.rs
@@ -189,3 +189,20 @@
         }
     }
 }
+
+/// Guards against a child below the root of another region: the root of its own region reports it as
+/// detached again and again, and it refutes that each time.
+#[test]
+fn no_node_is_a_parent_across_regions() {
+    let child = record("child", "a");
+    let root = Record {
+        root: true,
+        ..record("root", "b")
+    };
+    assert!(member::may_adopt(&root, &child));
+    let foreign = Record {
+        region: "south".parse().unwrap(),
+        ..root
+    };
+    assert!(!member::may_adopt(&foreign, &child));
+}
