--- a/crates/cli/tests/publishing.rs
+++ b/crates/cli/tests/publishing.rs
@@ -143,6 +143,7 @@
             .await
             .unwrap_err();
         assert_eq!(failure.exit_code(), 4, "{failure}");
+        assert!(failure.to_string().ends_with("; nothing was published"));
     }
     assert!(check_history(&standin).await.is_empty());
 
