--- a/crates/bundle/examples/transfer.rs
+++ b/crates/bundle/examples/transfer.rs
@@ -10,8 +10,12 @@
 type Failure = Box<dyn std::error::Error>;
 
 fn main() -> Result<(), Failure> {
-    let count = std::env::args().nth(1).map_or(Ok(470), |text| text.parse())?;
-    let mut services = (0..count).map(|index| service(index, 8)).collect::<Result<Vec<_>, _>>()?;
+    let count = std::env::args()
+        .nth(1)
+        .map_or(Ok(470), |text| text.parse())?;
+    let mut services = (0..count)
+        .map(|index| service(index, 8))
+        .collect::<Result<Vec<_>, _>>()?;
     let held = Bundle::new(Version::new(1), Timestamp::new(1), services.clone())?;
     services[0] = service(0, 9)?;
     let new = Bundle::new(Version::new(2), Timestamp::new(2), services)?;
@@ -28,8 +32,18 @@
 
     let start = Instant::now();
     let applied = held.apply(&delta)?;
-    println!("applied and validated version {} in {:?}", applied.version, start.elapsed());
-    println!("applying it again: {:?}", applied.apply(&delta).err().map(|rejection| rejection.to_string()));
+    println!(
+        "applied and validated version {} in {:?}",
+        applied.version,
+        start.elapsed()
+    );
+    println!(
+        "applying it again: {:?}",
+        applied
+            .apply(&delta)
+            .err()
+            .map(|rejection| rejection.to_string())
+    );
     Ok(())
 }
 
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -42,7 +42,7 @@
 
 /// Checks that all versions follow each other and are whole; returns them, the oldest one first.
 pub async fn check_history(standin: &Standin) -> Vec<Manifest> {
-    standin.set_faults(Faults::default());
+    standin.apply_faults(Faults::default()).await;
     let mut archive = archive(standin);
     let mut history = archive.history(1000, soon()).await.unwrap();
     history.reverse();
--- a/crates/cli/tests/late.rs
+++ b/crates/cli/tests/late.rs
@@ -32,7 +32,9 @@
         let Some((head, body)) = text.split_once("\r\n\r\n") else {
             continue;
         };
-        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
         if body.len() >= length.expect("a length").parse::<usize>().unwrap() {
             return Some(message);
         }
@@ -81,8 +83,14 @@
     let store = Store::new(vec![url.parse().unwrap()]).unwrap();
     let mut slow = Publisher::new(Archive::new(store), "slow");
     let done = slow.publish(&order(&[("a", 1)]), soon()).await.unwrap();
-    assert_eq!((done.effect, done.version), (Effect::Published, Version::new(1)));
+    assert_eq!(
+        (done.effect, done.version),
+        (Effect::Published, Version::new(1))
+    );
     assert_eq!(check_history(&standin).await.len(), 1);
-    let next = publisher(&standin, "ana").publish(&order(&[("a", 2)]), soon()).await.unwrap();
+    let next = publisher(&standin, "ana")
+        .publish(&order(&[("a", 2)]), soon())
+        .await
+        .unwrap();
     assert_eq!(next.version, Version::new(2));
 }
--- a/crates/cli/tests/publishing.rs
+++ b/crates/cli/tests/publishing.rs
@@ -108,11 +108,13 @@
 async fn lost_answers_never_publish_twice() {
     for (lost, silently) in [(1, false), (2, false), (3, false), (2, true)] {
         let standin = Standin::start_local().await.unwrap();
-        standin.set_faults(Faults {
-            lose_answers: lost,
-            lose_silently: silently,
-            ..Faults::default()
-        });
+        standin
+            .apply_faults(Faults {
+                lose_answers: lost,
+                lose_silently: silently,
+                ..Faults::default()
+            })
+            .await;
         let done = publisher(&standin, "ana")
             .publish(&order(&[("a", 1)]), soon())
             .await
@@ -134,10 +136,12 @@
     let standin = Standin::start_local().await.unwrap();
     let mut ana = publisher(&standin, "ana");
     for outage in [Outage::Refuse, Outage::Hang] {
-        standin.set_faults(Faults {
-            outage: outage.into(),
-            ..Faults::default()
-        });
+        standin
+            .apply_faults(Faults {
+                outage: outage.into(),
+                ..Faults::default()
+            })
+            .await;
         let failure = ana
             .publish(&order(&[("a", 1)]), Deadline::after_ms(300))
             .await
@@ -148,20 +152,24 @@
     assert!(check_history(&standin).await.is_empty());
 
     // All answers to writes are lost from here on, and the store hangs once the swap was sent.
-    standin.set_faults(Faults {
-        latency_ms: 100,
-        ..Faults::default()
-    });
+    standin
+        .apply_faults(Faults {
+            latency_ms: 100,
+            ..Faults::default()
+        })
+        .await;
     let deadline = Deadline::after_ms(1500);
     // The first transaction writes the pieces, the second one swaps the head.
     let hang = async {
         while standin.counters().txn < 2 && !deadline.has_passed(Instant::now()) {
             sleep(Duration::from_millis(1)).await;
         }
-        standin.set_faults(Faults {
-            outage: Outage::Hang.into(),
-            ..Faults::default()
-        });
+        standin
+            .apply_faults(Faults {
+                outage: Outage::Hang.into(),
+                ..Faults::default()
+            })
+            .await;
     };
     let order = order(&[("a", 1)]);
     let (result, ()) = tokio::join!(ana.publish(&order, deadline), hang);
@@ -253,11 +261,13 @@
     for slots in [1, 2] {
         ben.publish(&order(&[("a", slots)]), soon()).await.unwrap();
     }
-    standin.set_faults(Faults {
-        lose_answers: 1,
-        lose_silently: true,
-        ..Faults::default()
-    });
+    standin
+        .apply_faults(Faults {
+            lose_answers: 1,
+            lose_silently: true,
+            ..Faults::default()
+        })
+        .await;
     let writes = standin.counters().txn;
     let change = order(&[("a", 2), ("b", 1)]).with_base(Some(Version::new(1)));
     let race = async {
@@ -312,9 +322,9 @@
             outage: outage.into(),
             ..Faults::default()
         };
-        standin.set_faults(faults);
+        standin.apply_faults(faults).await;
         sleep(Duration::from_millis(random.random_range(5..40))).await;
-        standin.set_faults(Faults::default());
+        standin.apply_faults(Faults::default()).await;
     }
 }
 
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -79,10 +79,12 @@
             let counters = standin.counters();
             counters.range + counters.put + counters.txn
         };
-        standin.set_faults(Faults {
-            latency_ms: 50,
-            ..Faults::default()
-        });
+        standin
+            .apply_faults(Faults {
+                latency_ms: 50,
+                ..Faults::default()
+            })
+            .await;
         let (goal, directory) = (calls() + step, folder("a", 2));
         let mut child = tool(&[
             "publish",
