cli: say once that nothing was published, and only when publishing

The text was part of every failed read, so history and diff said it too, and publish said it twice. A test that looks for it once found this.

--- a/crates/cli/src/retry.rs
+++ b/crates/cli/src/retry.rs
@@ -47,9 +47,7 @@
             Ok(value) => return Ok(value),
             Err(error) => {
                 if !wait(attempt, command).await {
-                    return Err(Failure::Unreachable(format!(
-                        "{error}; nothing was published"
-                    )));
+                    return Err(Failure::Unreachable(error.to_string()));
                 }
             }
         }
--- a/crates/cli/tests/publishing.rs
+++ b/crates/cli/tests/publishing.rs
@@ -147,7 +147,8 @@
             .await
             .unwrap_err();
         assert_eq!(failure.exit_code(), 4, "{failure}");
-        assert!(failure.to_string().ends_with("; nothing was published"));
+        let text = failure.to_string();
+        assert_eq!(text.matches("; nothing was published").count(), 1, "{text}");
     }
     assert!(check_history(&standin).await.is_empty());
 
