--- a/crates/spread/src/child.rs
+++ b/crates/spread/src/child.rs
@@ -254,6 +254,7 @@
     async fn handle(&mut self, link: &Link, kind: Kind) -> Result<(), Lost> {
         match kind {
             Kind::Heartbeat(heartbeat) => {
+                self.note_held(Version::new(heartbeat.version));
                 if !heartbeat.summaries.is_empty()
                     && let Some(child) = self.shared.children().get_mut(&self.child.id)
                 {
--- a/crates/spread/src/shared.rs
+++ b/crates/spread/src/shared.rs
@@ -336,6 +336,7 @@
         let draining = self.is_draining();
         self.update_me(|me| {
             me.state = match &upstream {
+                _ if me.state == State::Left => State::Left,
                 _ if draining => State::Draining,
                 _ if !ready => State::Starting,
                 Some((_, _, state)) => *state,
