Close races between acting as root and attaching; bound reads for floor requests

A node that found a parent while it asked the store could act as root with a parent. Only the first parent now tells whether the address was known before, since later ones know the running process. The reader waits 100 ms between two reads for floor requests: 16 nodes that arrived one by one made 16 reads before. The test of merged requests counts reads under a slow store in place of a rate, which depended on the speed of the machine.

--- a/crates/spread/src/child.rs
+++ b/crates/spread/src/child.rs
@@ -18,7 +18,8 @@
 pub(crate) async fn run(shared: Shared, mut link: Link, hello: Hello, child: Record) {
     let number = shared.next_link();
     let now = Instant::now();
-    let known = placement::was_known(&shared.table(), &child);
+    // A node that has just started itself may not know who was there before.
+    let known = !*shared.ready.borrow() || placement::was_known(&shared.table(), &child);
     let permit = match admit(&shared, &child, &hello, number, now) {
         Ok(permit) => permit,
         Err(refusal) => return refuse(&shared, link, &child, refusal).await,
@@ -33,28 +34,13 @@
         ..child
     };
     shared.merge(child.clone(), 0, Origin::Tree(number));
-    let mut side = Side {
-        exchange: Exchange::new(&shared, Origin::Tree(number), false),
-        shared: shared.clone(),
-        child: child.clone(),
-        number,
-        sent: transfer::named(hello.version, &hello.digest),
-        permit,
-        wants_snapshot: false,
-        ticket: None,
-    };
+    let mut side = Side::new(&shared, &child, &hello, number, permit);
     let lost = match side.serve(&mut link, known).await {
         Ok(()) => Lost::Closed,
         Err(lost) => lost,
     };
     drop(side);
-    if matches!(lost, Lost::Stop | Lost::Misplaced)
-        && link.send(Kind::Bye(control::Bye {})).await.is_ok()
-    {
-        link.close().await;
-    } else {
-        drop(link);
-    }
+    part(link, &lost).await;
     release(&shared, &child.id, number);
     log::info!(
         node = shared.place.id.as_str(), child = child.id.as_str(), reason:% = lost;
@@ -63,6 +49,14 @@
     watch_return(&shared, &child, &lost).await;
 }
 
+/// Closes the link to a child; takes leave when the end is this node's decision.
+async fn part(link: Link, lost: &Lost) {
+    let own = matches!(lost, Lost::Stop | Lost::Misplaced);
+    if own && link.send(Kind::Bye(control::Bye {})).await.is_ok() {
+        link.close().await;
+    }
+}
+
 /// Decides about a child and registers it; the permit is for the snapshot that it needs.
 fn admit(
     shared: &Shared,
@@ -211,6 +205,25 @@
 }
 
 impl Side {
+    fn new(
+        shared: &Shared,
+        child: &Record,
+        hello: &Hello,
+        number: u64,
+        permit: Option<OwnedSemaphorePermit>,
+    ) -> Self {
+        Self {
+            exchange: Exchange::new(shared, Origin::Tree(number), false),
+            shared: shared.clone(),
+            child: child.clone(),
+            number,
+            sent: transfer::named(hello.version, &hello.digest),
+            permit,
+            wants_snapshot: false,
+            ticket: None,
+        }
+    }
+
     async fn serve(&mut self, link: &mut Link, known: bool) -> Result<(), Lost> {
         let shared = self.shared.clone();
         let mut bundles = shared.bundles.subscribe();
--- a/crates/spread/src/floor.rs
+++ b/crates/spread/src/floor.rs
@@ -1,7 +1,6 @@
 //! The lowest version that a started node may serve.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -77,7 +76,7 @@
         let witnesses = witnesses(shared);
         let questions = witnesses.iter().map(|witness| ask(shared, *witness));
         let answers: Vec<_> = join_all(questions).await.into_iter().flatten().collect();
-        let known = shared.known_before.load(Ordering::Relaxed);
+        let known = shared.known_before.get().copied().unwrap_or(true);
         if let Some(floor) = floor_from(witnesses.len(), &answers, known) {
             return floor;
         }
--- a/crates/spread/src/parent.rs
+++ b/crates/spread/src/parent.rs
@@ -1,6 +1,5 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 
 use member::Record;
 use schema::control::{self, Held, Resync, Welcome, message::Kind};
@@ -107,28 +106,11 @@
     if matches!(shared.role(), Role::Reader(_)) {
         return Lost::Reader;
     }
-    if let Some(record) = &welcome.record
-        && let Ok(record) = Record::try_from(record)
-    {
-        shared.merge(record, 0, Origin::Own);
-    }
-    if !welcome.known {
-        shared.known_before.store(false, Ordering::Relaxed);
-    }
-    shared.set_role(Role::Member);
-    shared.update_me(|me| me.parent = Some(parent.clone()));
-    shared
-        .attachment
-        .send_replace(Attachment::Attached(parent.clone()));
-    log::info!(
-        node = shared.place.id.as_str(), parent = parent.as_str(),
-        version = shared.version().get(), reason = "accepted"; "parent chosen"
-    );
-    let origin = Origin::Tree(shared.next_link());
+    enter(shared, parent, welcome);
     let mut side = Side {
         shared: shared.clone(),
         parent: parent.clone(),
-        exchange: Exchange::new(shared, origin, true),
+        exchange: Exchange::new(shared, Origin::Tree(shared.next_link()), true),
         link: *link,
         assembly: Assembly::default(),
         outstanding: None,
@@ -147,6 +129,26 @@
     lost
 }
 
+/// Records the new parent.
+fn enter(shared: &Shared, parent: &id::Node, welcome: &Welcome) {
+    if let Some(record) = &welcome.record
+        && let Ok(record) = Record::try_from(record)
+    {
+        shared.merge(record, 0, Origin::Own);
+    }
+    // Only the first parent can tell: later ones know this process already.
+    shared.known_before.get_or_init(|| welcome.known);
+    let attached = Attachment::Attached(parent.clone());
+    shared.attachment.send_replace(attached);
+    // After the attachment: the reader task checks it after it has begun to act as root.
+    shared.stop_acting();
+    shared.update_me(|me| me.parent = Some(parent.clone()));
+    log::info!(
+        node = shared.place.id.as_str(), parent = parent.as_str(),
+        version = shared.version().get(), reason = "accepted"; "parent chosen"
+    );
+}
+
 /// State of the child's side of a parent link.
 struct Side {
     shared: Shared,
--- a/crates/spread/src/reader.rs
+++ b/crates/spread/src/reader.rs
@@ -138,6 +138,11 @@
         end_acting(shared, "a lower node acts as root");
     } else if lowest && detached >= DETACHED_LIMIT && shared.role() == Role::Member {
         shared.set_role(Role::Acting);
+        if self::detached(shared).is_none() {
+            // A parent has accepted the node while the store was asked.
+            shared.stop_acting();
+            return;
+        }
         log::warn!(
             node = shared.place.id.as_str(), region = shared.place.region.as_str(),
             reason = "store does not answer"; "acting as root for membership"
@@ -146,8 +151,7 @@
 }
 
 fn end_acting(shared: &Shared, reason: &str) {
-    if shared.role() == Role::Acting {
-        shared.set_role(Role::Member);
+    if shared.stop_acting() {
         log::info!(node = shared.place.id.as_str(), reason = reason; "no longer acting as root");
     }
 }
--- a/crates/spread/src/shared.rs
+++ b/crates/spread/src/shared.rs
@@ -1,8 +1,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Deref;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard};
 
 use arc_swap::ArcSwap;
 use bundle::Bundle;
@@ -63,8 +63,8 @@
     pub(crate) lagging: watch::Sender<bool>,
     /// Time of the last answer of any peer to an attempt to attach.
     pub(crate) contact: watch::Sender<Option<Instant>>,
-    /// Whether the mesh may have known this address before the process started.
-    pub(crate) known_before: AtomicBool,
+    /// Whether the first parent knew this node or address from before the process started.
+    pub(crate) known_before: OnceLock<bool>,
     bundle: ArcSwap<Bundle>,
     history: Mutex<History>,
     table: RwLock<Table>,
@@ -144,7 +144,7 @@
             reader_address: watch::Sender::default(),
             lagging: watch::Sender::default(),
             contact: watch::Sender::default(),
-            known_before: AtomicBool::new(true),
+            known_before: OnceLock::new(),
             bundle: ArcSwap::new(empty),
             history: Mutex::default(),
             table: RwLock::new(table),
@@ -319,6 +319,21 @@
         }
     }
 
+    /// Stops acting as root; false when the node did not act as root.
+    pub(crate) fn stop_acting(&self) -> bool {
+        let stopped = self.role.send_if_modified(|role| {
+            let acting = *role == Role::Acting;
+            if acting {
+                *role = Role::Member;
+            }
+            acting
+        });
+        if stopped {
+            self.update_me(|me| me.root = false);
+        }
+        stopped
+    }
+
     pub(crate) fn set_upstream(&self, upstream: Option<Upstream>) {
         let mut held = lock(&self.upstream);
         if *held == upstream {
--- a/crates/spread/src/source.rs
+++ b/crates/spread/src/source.rs
@@ -6,7 +6,7 @@
 use schema::bundle::{Head, Manifest as ManifestMessage, ServiceConfig};
 use store::{Change, Event, Revision, Span, Store, Watch, keys, values};
 use thiserror::Error;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 use types::{Deadline, Version};
 
 use crate::shared::Shared;
@@ -14,6 +14,10 @@
 /// Time between two reads of `head`, which find out when a watch has gone silent.
 const REREAD: Duration = Duration::from_secs(2);
 
+/// Shortest time between two reads for waiting requests. Without it the restart of a failure domain,
+/// whose nodes arrive one by one, would make one read for each node.
+const FRESH: Duration = Duration::from_millis(100);
+
 /// Longest random wait after a failure.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -48,11 +52,15 @@
     let mut watch = None;
     loop {
         let ticket = shared.fresh.newest();
+        let fresh_at = Instant::now() + FRESH;
         match read(shared, store).await {
             Ok(reading) => {
                 answer(shared, ticket, reading.version);
                 watch = renew(shared, store, watch.take(), &reading).await;
                 wait(shared, store, &mut watch).await;
+                if shared.fresh.is_waiting() {
+                    sleep_until(fresh_at).await;
+                }
             }
             Err(failure) => {
                 log::warn!(
@@ -182,7 +190,7 @@
     while !until.has_passed(Instant::now()) {
         let Some((open, reported)) = watch else {
             tokio::select! {
-                () = tokio::time::sleep_until(until.instant()) => {}
+                () = sleep_until(until.instant()) => {}
                 () = shared.fresh.wait_request() => {}
             }
             return;
--- a/crates/spread/tests/floor.rs
+++ b/crates/spread/tests/floor.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use standin::Outage;
+use standin::{Faults, Outage};
 use support::{Mesh, Node};
 use types::Version;
 
@@ -68,18 +68,20 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn floor_requests_of_many_nodes_need_few_reads() {
     let mut mesh = Mesh::start_nodes(2).await;
+    let slow = Faults {
+        latency_ms: 1500,
+        ..Faults::default()
+    };
+    mesh.store.apply_faults(slow).await;
     let before = mesh.store.counters().range;
-    let start = std::time::Instant::now();
     for number in 2..18 {
         mesh.add(&format!("n{number}"), ["a", "b"][number % 2])
             .await;
     }
     mesh.wait_version(1).await;
     let reads = mesh.store.counters().range - before;
-    let seconds = u32::try_from(start.elapsed().as_secs()).unwrap() + 1;
-    // Two reads a second of the reader, and at most one for each batch of requests at its children.
-    assert!(reads <= 4 * seconds + 8, "{reads} reads in {seconds} s");
-    mesh.take("n5").close().await;
+    assert!(reads < 16, "{reads} reads for 16 started nodes");
+    mesh.store.apply_faults(Faults::default()).await;
 }
 
 /// Guards against a stop that does not free the address or leaves tasks behind.
