Move nodes away from parents of their own level

In a trial of 40 nodes some were 6 levels deep, because nodes that started early kept parents of their own level. The test of a paused reader did not see a reader that ignores its deadline; it now asks the other nodes.

--- a/crates/spread/src/parent.rs
+++ b/crates/spread/src/parent.rs
@@ -22,6 +22,10 @@
 /// Heartbeats between two checks of the own place in the tree.
 const PLACE_CHECK: u32 = 10;
 
+/// Heartbeats between two checks of the level of the parent. It is longer, because the level above may
+/// be full for good.
+const LEVEL_CHECK: u32 = 60;
+
 /// Keeps this node attached to a parent while it is not the reader.
 pub(crate) async fn run(shared: Shared) {
     let mut backoff = Backoff::default();
@@ -248,8 +252,11 @@
     fn is_placed(&self) -> bool {
         let table = self.shared.table();
         let me = table.get(&self.shared.place.id);
+        let fanout = self.shared.config.fanout;
         me.is_none_or(|me| {
-            placement::is_placed(&table, me, &self.parent, self.shared.config.fanout)
+            placement::is_placed(&table, me, &self.parent, fanout)
+                && (!self.beats.is_multiple_of(LEVEL_CHECK)
+                    || placement::is_above(&table, me, &self.parent, fanout))
         })
     }
 
--- a/crates/spread/src/placement.rs
+++ b/crates/spread/src/placement.rs
@@ -37,14 +37,24 @@
     addresses(table, &nodes)
 }
 
-/// Whether `parent` is where the tree order wants `me` to be attached.
+/// Whether `parent` is one that the tree order gives to `me`.
 #[must_use]
 pub fn is_placed(table: &Table, me: &Record, parent: &id::Node, fanout: u32) -> bool {
     let nodes = member::candidates(table, me, fanout);
-    if nodes.is_empty() {
-        return true;
-    }
-    nodes.contains(parent)
+    nodes.is_empty() || nodes.contains(parent)
+}
+
+/// Whether `parent` is of a higher level than `me`, or no candidate is. Nodes that started before the
+/// others may hang below nodes of their own level, which makes the tree deeper than it must be.
+#[must_use]
+pub fn is_above(table: &Table, me: &Record, parent: &id::Node, fanout: u32) -> bool {
+    let own = member::level(table, me, fanout);
+    let is_higher = |node: &id::Node| {
+        let record = table.get(node);
+        record.is_some_and(|record| member::level(table, record, fanout) < own)
+    };
+    let candidates = member::candidates(table, me, fanout);
+    is_higher(parent) || !candidates.first().is_some_and(is_higher)
 }
 
 /// Most children that `me` may have for `child` to be accepted. Nodes that a root takes only because
--- a/crates/spread/tests/decisions.rs
+++ b/crates/spread/tests/decisions.rs
@@ -4,12 +4,13 @@
 
 use std::time::Duration;
 
-use member::{Record, State};
+use member::{Record, State, Table};
 use schema::control::DomainSummary;
 use spread::admission::{Admission, NEW_CHILDREN, Refusal, Role, is_parent_for};
 use spread::floor::{Answer, floor_from};
 use spread::fresh::Fresh;
 use spread::liveness::Watchlist;
+use spread::placement;
 use spread::reader::{Prospect, should_nominate};
 use spread::summary;
 use spread::witness::Witness;
@@ -275,3 +276,22 @@
     };
     assert_eq!(sum, [expected]);
 }
+
+/// Guards against a tree that stays deep because early nodes keep parents of their own level.
+#[test]
+fn a_parent_of_the_own_level_is_left_when_the_level_above_has_nodes() {
+    let now = Instant::now();
+    let mut table = Table::default();
+    for number in 0..64 {
+        table.merge(record(&format!("n{number}"), "a"), now);
+    }
+    for me in table.iter() {
+        let candidates = member::candidates(&table, me, 6);
+        let level = |node| member::level(&table, table.get(node).unwrap(), 6);
+        for parent in &candidates {
+            let expected = level(parent) < level(&me.id) || level(&candidates[0]) == level(&me.id);
+            assert_eq!(placement::is_above(&table, me, parent, 6), expected);
+            assert!(placement::is_placed(&table, me, parent, 6));
+        }
+    }
+}
--- a/crates/spread/tests/reader.rs
+++ b/crates/spread/tests/reader.rs
@@ -16,7 +16,8 @@
     let old = mesh.wait_reader().await;
     mesh.node(&old).freeze(Duration::from_secs(12));
     mesh.wait("another reader", |mesh| {
-        mesh.reader().is_some_and(|reader| reader != old)
+        let mut others = mesh.nodes.iter().filter(|node| node.id != old);
+        others.any(|node| node.spread.is_reader())
     })
     .await;
     assert!(
