--- a/crates/call/src/announcement.rs
+++ b/crates/call/src/announcement.rs
@@ -16,12 +16,12 @@
     pub connections: size::Connections,
     /// State that it is in.
     pub state: Stage,
-    /// Path of its health endpoint.
+    /// Path of its health endpoint; empty for `/health`.
     pub health: String,
 }
 
 impl Announcement {
-    /// Creates the announcement of a ready upstream whose health endpoint is `/health`.
+    /// Creates the announcement of a ready upstream with the usual health endpoint.
     #[must_use]
     pub fn new(
         service: id::Service,
@@ -35,7 +35,7 @@
             slots,
             connections,
             state: Stage::Ready,
-            health: "/health".to_owned(),
+            health: String::new(),
         }
     }
 
--- a/crates/call/src/local.rs
+++ b/crates/call/src/local.rs
@@ -3,7 +3,7 @@
 
 use route::{Presence, Stage, Verdict};
 use tokio::time::Instant;
-use types::{Deadline, id};
+use types::{Deadline, id, size};
 
 use crate::gate::Gate;
 use crate::upstream::Upstream;
@@ -51,11 +51,14 @@
         self.lock().announcement.service == *service
     }
 
-    /// Renews the announcement. `draining` says that the node itself takes no new calls.
-    pub(crate) fn announce(&self, announcement: Announcement, draining: bool) {
+    /// Renews the announcement. `queue` is the limit of the configuration in force, `draining` says
+    /// that the node itself takes no new calls.
+    pub(crate) fn announce(&self, announcement: Announcement, queue: size::Queue, draining: bool) {
         let draining = draining || announcement.state == Stage::Draining;
-        self.gate
-            .update(|admission| admission.set_draining(draining));
+        self.gate.update(|admission| {
+            admission.set_queue(queue);
+            admission.set_draining(draining);
+        });
         let mut state = self.lock();
         state.presence.announce(announcement.state, Instant::now());
         state.announcement = announcement;
@@ -114,7 +117,10 @@
 
     /// Probes the health endpoint once; the announcement may lapse first.
     pub(crate) async fn probe(&self) {
-        let path = self.lock().announcement.health.clone();
+        let path = match self.lock().announcement.health.as_str() {
+            "" => "/health".to_owned(),
+            path => path.to_owned(),
+        };
         let deadline = Deadline::after(PROBE_INTERVAL).min(self.expiry());
         let result = self.upstream.probe(&path, deadline).await;
         if !self.expiry().has_passed(Instant::now()) {
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -7,7 +7,7 @@
 use store::Store;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
-use types::Deadline;
+use types::{Deadline, size};
 
 use crate::gate::Gate;
 use crate::job::Job;
@@ -55,12 +55,14 @@
     /// Returns an error when the HTTP client cannot be set up.
     pub fn announce(&self, announcement: Announcement) -> Result<(), reqwest::Error> {
         let draining = self.0.draining.load(Ordering::Acquire);
+        let routes = self.0.mesh.routes();
+        let queue = routes.queue(&announcement.service, announcement.slots);
         let known = self.0.local.load_full();
         if let Some(local) = known.filter(|local| local.is_same(&announcement)) {
-            local.announce(announcement, draining);
+            local.announce(announcement, queue, draining);
         } else {
-            let local = Arc::new(self.0.create(announcement.clone())?);
-            local.announce(announcement, draining);
+            let local = Arc::new(create(announcement.clone(), queue)?);
+            local.announce(announcement, queue, draining);
             self.0.local.store(Some(Arc::clone(&local)));
             tokio::spawn(supervise(Arc::downgrade(&self.0), local));
         }
@@ -143,14 +145,6 @@
 }
 
 impl Shared {
-    fn create(&self, announcement: Announcement) -> Result<Local, reqwest::Error> {
-        let (slots, connections) = (announcement.slots, announcement.connections);
-        let queue = self.mesh.routes().queue(&announcement.service, slots);
-        let upstream = Upstream::new(announcement.address, slots, connections)?;
-        let usable = Upstream::usable_slots(slots, connections);
-        Ok(Local::new(announcement, Gate::new(usable, queue), upstream))
-    }
-
     fn publish(&self) {
         let current = self.local.load();
         let announcement = current.as_ref().and_then(|local| local.announcement());
@@ -169,6 +163,13 @@
     }
 }
 
+fn create(announcement: Announcement, queue: size::Queue) -> Result<Local, reqwest::Error> {
+    let (slots, connections) = (announcement.slots, announcement.connections);
+    let upstream = Upstream::new(announcement.address, slots, connections)?;
+    let usable = Upstream::usable_slots(slots, connections);
+    Ok(Local::new(announcement, Gate::new(usable, queue), upstream))
+}
+
 /// Probes an upstream each second until its announcement lapses or is replaced.
 async fn supervise(shared: Weak<Shared>, local: Arc<Local>) {
     loop {
--- a/crates/call/tests/load.rs
+++ b/crates/call/tests/load.rs
@@ -5,15 +5,17 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bundle::Bundle;
 use call::{Answer, Request};
 use futures::future::join_all;
 use support::{
     Behaviour, Link, Node, Relay, Upstream, World, announcement, renewal, service, status, verdict,
 };
 use tokio::time::{Instant, sleep, timeout};
-use types::{Deadline, Outcome, size};
+use types::{Deadline, Outcome, Timestamp, Version, size};
 
 /// Sends calls side by side and returns their answers.
 async fn send_all(node: &Node, requests: Vec<Request>) -> Vec<Answer> {
@@ -160,6 +162,34 @@
     assert_eq!(upstream.runs("late"), 0);
 }
 
+/// Guards against a call that sees two configuration versions.
+#[tokio::test]
+async fn call_keeps_the_version_it_began_with() {
+    let world = World::new(service());
+    let upstream = Upstream::start(Behaviour::Slow(Duration::from_millis(200))).await;
+    let _target = world.target("b", upstream.address()).await;
+    let node = world.node("a", None).await;
+    let caller = node.caller.clone();
+    let running = tokio::spawn(async move { caller.call(status("r1")).await });
+    upstream.wait_run("r1").await;
+    let empty = Bundle::new(
+        Version::new(8),
+        Timestamp::new(2),
+        [] as [bundle::Service; 0],
+    )
+    .unwrap();
+    world.bundle.store(Arc::new(empty));
+    let (old, new) = (running.await.unwrap(), node.caller.call(status("r2")).await);
+    assert_eq!(
+        (verdict(&old).as_str(), old.version),
+        ("ran none 200", Version::new(7))
+    );
+    assert_eq!(
+        (verdict(&new).as_str(), new.version),
+        ("not-run caller 404", Version::new(8))
+    );
+}
+
 /// Guards against an upstream that stopped announcing itself and still gets work after 3 s.
 #[tokio::test]
 async fn announcement_that_is_not_renewed_lapses() {
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -87,17 +87,11 @@
         }
     }
 
-    /// Changes the declared sizes; calls that run or wait are kept.
-    pub fn resize(&mut self, slots: size::Slots, queue_limit: size::Queue) {
-        self.limit.resize(slots);
+    /// Changes the limit of the queue; calls that wait already are kept.
+    pub const fn set_queue(&mut self, queue_limit: size::Queue) {
         self.queue_limit = queue_limit;
     }
 
-    /// Marks that the upstream was replaced, so that it counts as cold again.
-    pub fn restart(&mut self, now: Instant) {
-        self.limit.restart(now);
-    }
-
     /// Refuses new calls and those in the queue, or takes calls again.
     pub const fn set_draining(&mut self, draining: bool) {
         self.draining = draining;
