--- a/crates/call/tests/outcomes.rs
+++ b/crates/call/tests/outcomes.rs
@@ -14,9 +14,9 @@
 use route::Stage;
 use support::{
     Behaviour, Link, Relay, Upstream, World, announcement, closed_port, owner, renewal, service,
-    status, verdict,
+    status, verdict, wait,
 };
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 use types::{Deadline, Fault, Outcome};
 
 /// Twice the 2 s after which a silent connection must have failed; the machine is shared.
@@ -272,11 +272,7 @@
                 calling.abort();
             }
             upstream.wait_closed_early().await;
-            let deadline = Instant::now() + SILENCE_BOUND;
-            while target.target.load().unwrap().in_use > 0 {
-                assert!(Instant::now() < deadline, "slot stays in use");
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
+            wait(|| target.target.load().unwrap().in_use == 0).await;
             assert_eq!(node.accounts.read(&owner()).counters.cancelled, 1);
         }
     }
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -1,10 +1,5 @@
 //! Mesh of a few nodes in one process, with real sockets between them and upstreams with faults.
-#![allow(
-    dead_code,
-    unused_imports,
-    clippy::unwrap_used,
-    clippy::missing_panics_doc
-)]
+#![allow(dead_code, unused_imports, clippy::unwrap_used)]
 
 mod relay;
 mod upstream;
@@ -15,17 +10,16 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use bundle::{Bundle, Reach, Service};
+use bundle::{Bundle, Service};
 use call::{Accounts, Announcement, Answer, Caller, Mesh, Request, Target};
 use http::Method;
 use route::{Candidate, Place};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use types::rate::Percent;
 use types::{Deadline, Timestamp, Version, id, size};
 
 pub use relay::{Link, Relay};
-pub use upstream::{Behaviour, Upstream};
+pub use upstream::{Behaviour, Upstream, wait};
 
 pub const SERVICE: &str = "renewals";
 
@@ -50,31 +44,29 @@
     }
 }
 
+const CONFIG: &str = "
+[service]
+name = renewals
+owner = caroni
+slots = 4
+connections = 20
+queue = 8
+[retry]
+attempts = 2
+[route status]
+path = /status
+deadline_ms = 5000
+repeatable = yes
+[route renew]
+path = /renew
+deadline_ms = 5000
+repeatable = no
+";
+
 pub fn service() -> Service {
-    let route = |name: &str, path: &str, repeatable| bundle::Route {
-        name: name.parse().unwrap(),
-        path: path.to_owned(),
-        methods: Vec::new(),
-        service: SERVICE.parse().unwrap(),
-        deadline_ms: 5_000,
-        repeatable,
-    };
-    Service {
-        name: SERVICE.parse().unwrap(),
-        owner: "caroni".parse().unwrap(),
-        file: "renewals.ini".to_owned(),
-        slots: size::Slots::new(4),
-        connections: size::Connections::new(20),
-        queue: size::Queue::new(8),
-        reach: Reach::Any,
-        subset: 8,
-        attempts: 2,
-        budget: Percent::new(20),
-        routes: vec![
-            route("status", "/status", true),
-            route("renew", "/renew", false),
-        ],
-    }
+    let (source, findings) = bundle::Source::read("renewals.ini", "renewals.ini", CONFIG);
+    assert!(findings.is_empty(), "{findings}");
+    source.unwrap().service
 }
 
 impl World {
--- a/crates/call/tests/support/upstream.rs
+++ b/crates/call/tests/support/upstream.rs
@@ -44,7 +44,6 @@
     closed_early: AtomicU32,
     running: AtomicU32,
     most_running: AtomicU32,
-    connections: AtomicU32,
 }
 
 impl Upstream {
@@ -57,13 +56,11 @@
             closed_early: AtomicU32::new(0),
             running: AtomicU32::new(0),
             most_running: AtomicU32::new(0),
-            connections: AtomicU32::new(0),
         });
         let shared = Arc::clone(&state);
         tokio::spawn(async move {
             let mut connections = JoinSet::new();
             while let Ok((socket, _)) = listener.accept().await {
-                shared.connections.fetch_add(1, Ordering::SeqCst);
                 connections.spawn(serve(Arc::clone(&shared), socket));
             }
         });
@@ -78,46 +75,43 @@
         *self.0.behaviour.lock().unwrap() = behaviour;
     }
 
-    /// Runs with this request id.
-    pub fn runs(&self, id: &str) -> usize {
-        let runs = self.0.runs.lock().unwrap();
-        runs.iter().filter(|run| *run == id).count()
-    }
-
     pub fn all_runs(&self) -> usize {
         self.0.runs.lock().unwrap().len()
     }
 
     /// Waits until the client has closed a connection before its answer was complete.
     pub async fn wait_closed_early(&self) {
-        let closed = async {
-            while self.0.closed_early.load(Ordering::SeqCst) == 0 {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        tokio::time::timeout(Duration::from_secs(4), closed)
-            .await
-            .unwrap();
+        wait(|| self.0.closed_early.load(Ordering::SeqCst) > 0).await;
     }
 
     /// Waits until a request with this id has arrived.
     pub async fn wait_run(&self, id: &str) {
-        let arrived = async {
-            while self.runs(id) == 0 {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        tokio::time::timeout(Duration::from_secs(4), arrived)
-            .await
-            .unwrap();
+        wait(|| self.runs(id) > 0).await;
+    }
+
+    /// Runs with this request id.
+    pub fn runs(&self, id: &str) -> usize {
+        let runs = self.0.runs.lock().unwrap();
+        runs.iter().filter(|run| *run == id).count()
     }
 
     pub fn most_running(&self) -> u32 {
         self.0.most_running.load(Ordering::SeqCst)
     }
+}
 
-    pub fn connections(&self) -> u32 {
-        self.0.connections.load(Ordering::SeqCst)
+/// Waits until `condition` holds, for at most twice the 2 s in which the mesh must notice a failure.
+pub async fn wait<F>(condition: F)
+where
+    F: Fn() -> bool,
+{
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(4);
+    while !condition() {
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "condition does not hold in time"
+        );
+        tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
 
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bundle::{Bundle, Reach, Service};
+use bundle::{Bundle, Service};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rand::SeedableRng;
@@ -272,39 +272,24 @@
     assert_eq!(presence.verdict(after(5_000)), Verdict::Absent, "lapsed");
 }
 
-fn service(name: &str, routes: &[(&str, &[&str])]) -> Service {
-    let route = |(index, (path, methods)): (usize, &(&str, &[&str]))| bundle::Route {
-        name: format!("{name}-{index}").parse().unwrap(),
-        path: (*path).to_owned(),
-        methods: methods.iter().map(|&method| method.to_owned()).collect(),
-        service: name.parse().unwrap(),
-        deadline_ms: 1_000,
-        repeatable: false,
-    };
-    Service {
-        name: name.parse().unwrap(),
-        owner: "caroni".parse().unwrap(),
-        file: format!("{name}.ini"),
-        slots: size::Slots::new(4),
-        connections: size::Connections::new(20),
-        queue: size::Queue::new(8),
-        reach: Reach::Any,
-        subset: 8,
-        attempts: 2,
-        budget: Percent::new(20),
-        routes: routes.iter().enumerate().map(route).collect(),
-    }
+/// Service whose routes have these paths and methods.
+fn service(name: &str, routes: &[(&str, &str)]) -> Service {
+    let routes = routes.iter().enumerate().map(|(index, (path, methods))| {
+        format!("[route {name}-{index}]\npath = {path}\nmethods = {methods}\n")
+    });
+    let head = format!("[service]\nname = {name}\nowner = caroni\n");
+    let text: String = std::iter::once(head).chain(routes).collect();
+    let (source, findings) = bundle::Source::read(name, name, &text);
+    assert!(findings.is_empty(), "{findings}");
+    source.unwrap().service
 }
 
 /// Guards against a call that goes to the service of a shorter or a merely similar path.
 #[test]
 fn longest_prefix_of_whole_segments_wins_then_the_method() {
     let services = [
-        service("a", &[("/permits", &["GET"]), ("/", &["GET"])]),
-        service(
-            "b",
-            &[("/permits/packs", &["GET", "POST"]), ("/permits", &["PUT"])],
-        ),
+        service("a", &[("/permits", "GET"), ("/", "GET")]),
+        service("b", &[("/permits/packs", "GET, POST"), ("/permits", "PUT")]),
     ];
     let bundle = Bundle::new(Version::new(1), Timestamp::new(1), services).unwrap();
     let routes = Routes::new(Arc::new(bundle));
