--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,11 +2,14 @@
 
 #![allow(dead_code, reason = "each test file uses some of these")]
 
+use std::time::Duration;
+
 use bundle::{Bundle, Folder, Manifest, Source};
-use cli::{Archive, Order, Publisher};
-use schema::standin::Faults;
+use cli::{Archive, Failure, Order, Published, Publisher};
+use schema::standin::{Faults, Outage};
 use standin::store::Store as Standin;
 use store::Store;
+use tokio::time::{Instant, sleep};
 use types::{Deadline, Version};
 
 /// Deadline that no test is meant to reach.
@@ -14,6 +17,45 @@
     Deadline::after_ms(20_000)
 }
 
+/// Faults of a store that does not serve.
+pub fn outage(kind: Outage) -> Faults {
+    let outage = kind.into();
+    Faults {
+        outage,
+        ..Faults::default()
+    }
+}
+
+/// Faults of a store whose answers wait.
+pub fn latency(latency_ms: u32) -> Faults {
+    Faults {
+        latency_ms,
+        ..Faults::default()
+    }
+}
+
+/// Faults of a store that loses the answers of the next writes.
+pub fn lost(lose_answers: u32, lose_silently: bool) -> Faults {
+    Faults {
+        lose_answers,
+        lose_silently,
+        ..Faults::default()
+    }
+}
+
+/// Waits until a condition holds, up to a limit that no test is meant to reach.
+pub async fn until(mut condition: impl FnMut() -> bool) {
+    let deadline = Deadline::after_ms(3000);
+    while !condition() && !deadline.has_passed(Instant::now()) {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Publishes as a publisher that knows nothing yet.
+pub async fn publish(standin: &Standin, name: &str, order: &Order) -> Result<Published, Failure> {
+    publisher(standin, name).publish(order, soon()).await
+}
+
 pub fn archive(standin: &Standin) -> Archive {
     Archive::new(Store::new(vec![standin.url().parse().unwrap()]).unwrap())
 }
