store: count the bytes of calls to the store

Cause: the bytes between readers and the store cross links between regions and were not counted. Change: the client counts the bodies of requests, answers and watch messages by kind; the daemon shows them, and the measuring program reports them at rest and for each change.

--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -69,6 +69,10 @@
     pub resident_kib: u64,
     /// Anonymous resident memory of a node: largest, in KiB.
     pub anonymous_max_kib: u64,
+    /// Bytes a second between all nodes and the store without publications.
+    pub store_quiet_bytes: f64,
+    /// Bytes for each change between all nodes and the store.
+    pub store_change_bytes: f64,
     /// Calls a second that the store counts without publications.
     pub store_quiet: f64,
     /// Watches that the store has counted since the start.
@@ -118,6 +122,14 @@
         sums.sum()
     }
 
+    fn store_bytes(&self) -> f64 {
+        let sums = self
+            .scrapes
+            .iter()
+            .map(|scrape| scrape.sum("dandelionseam_store_bytes_total", |_| true));
+        sums.sum()
+    }
+
     fn processor(&self) -> f64 {
         self.usage
             .iter()
@@ -242,6 +254,8 @@
     let load_regions = (end.sent_to_regions(&plan) - quiet.sent_to_regions(&plan)) / load_time;
     let quiet_core = (quiet.processor() - start.processor()) / quiet_time;
     let load_core = (end.processor() - quiet.processor()) / load_time;
+    let store_quiet_bytes = (quiet.store_bytes() - start.store_bytes()) / quiet_time;
+    let store_load_bytes = (end.store_bytes() - quiet.store_bytes()) / load_time;
     let store_quiet = (quiet.store_calls() - start.store_calls()) / quiet_time;
     let store_load = (end.store_calls() - quiet.store_calls()) / load_time;
     let mut resident: Vec<_> = end.usage.iter().map(|usage| usage.resident_kib).collect();
@@ -273,6 +287,8 @@
             .map(|usage| usage.anonymous_kib)
             .max()
             .unwrap_or_default(),
+        store_quiet_bytes,
+        store_change_bytes: (store_load_bytes - store_quiet_bytes) * load_time / changes,
         store_quiet,
         store_watches: end.store.get("watch").copied().unwrap_or_default(),
         store_change: (store_load - store_quiet) * load_time / changes,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -42,6 +42,7 @@
     latency: Histogram,
     control: IntCounterVec,
     store: IntCounterVec,
+    store_bytes: IntCounterVec,
 }
 
 impl Metrics {
@@ -78,6 +79,11 @@
                 &["kind", "direction", "region"],
             )?,
             store: counters("store_calls_total", "Calls to the store.", &["kind"])?,
+            store_bytes: counters(
+                "store_bytes_total",
+                "Bytes of calls to the store and of their answers.",
+                &["kind"],
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -92,7 +98,8 @@
         self.registry.register(Box::new(self.calls.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.control.clone()))?;
-        self.registry.register(Box::new(self.store.clone()))
+        self.registry.register(Box::new(self.store.clone()))?;
+        self.registry.register(Box::new(self.store_bytes.clone()))
     }
 
     /// Counts a call that ended.
@@ -141,14 +148,16 @@
         }
     }
 
-    /// Sets the calls to the store to the client's totals.
+    /// Sets the calls to the store and their bytes, by kind, to the client's totals.
     pub fn set_store<'a, I>(&self, totals: I)
     where
-        I: IntoIterator<Item = (&'a str, u64)>,
+        I: IntoIterator<Item = (&'a str, u64, u64)>,
     {
-        for (kind, calls) in totals {
+        for (kind, calls, bytes) in totals {
             let counter = self.store.with_label_values(&[kind]);
             counter.inc_by(calls.saturating_sub(counter.get()));
+            let counter = self.store_bytes.with_label_values(&[kind]);
+            counter.inc_by(bytes.saturating_sub(counter.get()));
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -119,11 +119,13 @@
             bytes: row.bytes.get(),
         }));
         if let Some(store) = &self.store {
-            let calls = store
-                .counters()
-                .map(|(kind, calls)| (kind.to_string(), calls));
-            let calls = calls.iter().map(|(kind, calls)| (kind.as_str(), *calls));
-            self.figures.set_store(calls);
+            let totals = store.counters().into_iter().zip(store.bytes());
+            let totals: Vec<_> = totals
+                .map(|((kind, calls), (_, bytes))| (kind.to_string(), calls, bytes))
+                .collect();
+            let totals = totals.iter();
+            self.figures
+                .set_store(totals.map(|(kind, calls, bytes)| (kind.as_str(), *calls, *bytes)));
         }
         self.figures.text()
     }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -181,7 +181,13 @@
     /// Calls sent so far, by kind. A watch counts once.
     #[must_use]
     pub fn counters(&self) -> [(Kind, u64); Kind::ALL.len()] {
-        Kind::ALL.map(|kind| (kind, self.transport.counters.get(kind)))
+        Kind::ALL.map(|kind| (kind, self.transport.counters.calls(kind)))
+    }
+
+    /// Bytes of the bodies sent and received so far, by kind; HTTP headers are not counted.
+    #[must_use]
+    pub fn bytes(&self) -> [(Kind, u64); Kind::ALL.len()] {
+        Kind::ALL.map(|kind| (kind, self.transport.counters.bytes(kind)))
     }
 
     async fn call<Q, A>(&self, kind: Kind, request: &Q, deadline: Deadline) -> Result<A, Error>
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -1,5 +1,5 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -30,7 +30,7 @@
     /// Opens a connection for each call. On a reused connection that the store has just closed, a
     /// write would end with an unknown outcome.
     single: Client,
-    pub(crate) counters: Counters,
+    pub(crate) counters: Arc<Counters>,
 }
 
 impl Transport {
@@ -40,7 +40,7 @@
             preferred: AtomicUsize::new(0),
             pooled: Mutex::new(build(usize::MAX)?),
             single: build(0)?,
-            counters: Counters::default(),
+            counters: Arc::default(),
         })
     }
 
@@ -51,7 +51,9 @@
         body: Vec<u8>,
         deadline: Deadline,
     ) -> Result<Bytes, Error> {
-        self.try_addresses(kind, body, deadline, receive).await
+        let answer = self.try_addresses(kind, body, deadline, receive).await?;
+        self.counters.add_bytes(kind, answer.len());
+        Ok(answer)
     }
 
     /// Sends a call and returns the head of its streamed answer.
@@ -147,7 +149,7 @@
         let url = address
             .join(kind.path())
             .map_err(|error| Error::NotSent(error.to_string()))?;
-        self.counters.count(kind);
+        self.counters.count(kind, body.len());
         let exchange = async { read(send(client, kind, url, body).await?).await };
         let Ok(result) = timeout_at(limit.instant(), exchange).await else {
             log::warn!(kind:%, address:%; "store call without an answer by its deadline");
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -1,9 +1,12 @@
+use std::sync::Arc;
+
 use bytes::BytesMut;
 use reqwest::Response;
 use schema::gateway::{WatchCreateRequest, WatchRequest, WatchResponse, WatchStream};
 use tokio::time::timeout_at;
 use types::Deadline;
 
+use crate::counters::Counters;
 use crate::ledger::Ledger;
 use crate::store::print;
 use crate::transport::Transport;
@@ -17,6 +20,7 @@
     response: Response,
     buffer: BytesMut,
     ledger: Ledger,
+    counters: Arc<Counters>,
     next: Revision,
     /// Reason why no more events come.
     ended: Option<Error>,
@@ -43,6 +47,7 @@
             response,
             buffer: BytesMut::new(),
             ledger: Ledger::new(from),
+            counters: Arc::clone(&transport.counters),
             next: from,
             ended: None,
         };
@@ -127,7 +132,10 @@
                 return Err(Error::WatchEnded("message is too large".to_owned()));
             }
             match self.response.chunk().await {
-                Ok(Some(part)) => self.buffer.extend_from_slice(&part),
+                Ok(Some(part)) => {
+                    self.counters.add_bytes(Kind::Watch, part.len());
+                    self.buffer.extend_from_slice(&part);
+                }
                 Ok(None) => return Err(Error::WatchEnded("closed by the store".to_owned())),
                 Err(error) => return Err(Error::WatchEnded(error.to_string())),
             }
