--- a/crates/call/tests/load.rs
+++ b/crates/call/tests/load.rs
@@ -11,6 +11,7 @@
 use bundle::Bundle;
 use call::{Answer, Request};
 use futures::future::join_all;
+use schema::standin::{Behaviour as Script, ServiceTime, UpstreamSettings};
 use support::{
     Behaviour, Link, Node, Relay, Upstream, World, announcement, renewal, service, status, verdict,
 };
@@ -288,3 +289,41 @@
     assert_eq!(verdict(&answer), "ran none 200", "{}", answer.reason);
     assert_eq!(upstream.runs("r2"), 0);
 }
+
+/// Guards against calls that go, one after the other, to kept connections which have all gone silent.
+#[tokio::test]
+async fn silent_connections_to_the_upstream_cost_one_call() {
+    let world = World::new(service());
+    let settings = UpstreamSettings::default();
+    let upstream = standin::upstream::Upstream::start_local(settings)
+        .await
+        .unwrap();
+    let target = world.target("b", upstream.address()).await;
+    let slow = ServiceTime {
+        us: 50_000,
+        weight: 1,
+    };
+    let behaviour = Script {
+        service_times: vec![slow],
+        ..Script::default()
+    };
+    upstream.set_behaviour(behaviour.clone());
+    let requests = (0..2).map(|n| status(&format!("first-{n}"))).collect();
+    for answer in send_all(&target, requests).await {
+        assert_eq!(verdict(&answer), "ran none 200", "{}", answer.reason);
+        answer.body.read().await.unwrap();
+    }
+    let silent = Script {
+        silence_connections: true,
+        ..behaviour
+    };
+    upstream.set_behaviour(silent);
+    for (id, expected) in [
+        ("r1", "unknown service:renewals 504"),
+        ("r2", "ran none 200"),
+    ] {
+        let request = status(id).with_deadline(Deadline::after_ms(500));
+        let answer = target.caller.call(request).await;
+        assert_eq!(verdict(&answer), expected, "{id}: {}", answer.reason);
+    }
+}
