Bound the failures of all owners' accounts together

Callers name owners in a header, and 4,096 owners with 1,024 failures each would have taken about 1 GB. All accounts together keep 16,384 failures; the longest account loses its oldest one first.

--- a/crates/call/src/accounts.rs
+++ b/crates/call/src/accounts.rs
@@ -9,6 +9,10 @@
 /// Owners that accounts are kept for. Callers name owners in a header, so the number must be bounded.
 const OWNER_LIMIT: usize = 4096;
 
+/// Failures kept for all owners together, about 4 MB. With more, the longest account loses its oldest
+/// failure first.
+const TOTAL_LIMIT: usize = 16 * FAILURE_LIMIT;
+
 /// A failed call in an owner's account.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -62,7 +66,14 @@
 
 /// Accounts of all owners at this node.
 #[derive(Debug, Default)]
-pub struct Accounts(Mutex<HashMap<id::Owner, Account>>);
+pub struct Accounts(Mutex<Book>);
+
+#[derive(Debug, Default)]
+struct Book {
+    accounts: HashMap<id::Owner, Account>,
+    /// Failures in all accounts.
+    total: usize,
+}
 
 impl Accounts {
     /// Creates accounts without any owner.
@@ -73,58 +84,72 @@
 
     /// Counts a call that ended well.
     pub fn success(&self, owner: &id::Owner) {
-        with_account(&mut self.lock(), owner, |account| {
+        if let Some(account) = self.lock().account(owner) {
             account.counters.calls += 1;
-        });
+        }
     }
 
     /// Counts a call that the caller gave up.
     pub fn cancelled(&self, owner: &id::Owner) {
-        with_account(&mut self.lock(), owner, |account| {
+        if let Some(account) = self.lock().account(owner) {
             account.counters.calls += 1;
             account.counters.cancelled += 1;
-        });
+        }
     }
 
     /// Records a failed call.
     pub fn record(&self, owner: &id::Owner, entry: Entry) {
-        with_account(&mut self.lock(), owner, |account| {
-            account.counters.count(&entry);
-            if account.failures.len() == FAILURE_LIMIT {
-                account.failures.pop_front();
-            }
-            account.failures.push_back(entry);
-        });
+        self.lock().record(owner, entry);
     }
 
     /// Copy of an owner's account; empty when nothing was recorded.
     #[must_use]
     pub fn read(&self, owner: &id::Owner) -> Account {
-        self.lock().get(owner).cloned().unwrap_or_default()
+        self.lock().accounts.get(owner).cloned().unwrap_or_default()
     }
 
     /// Owners with an account, in order.
     #[must_use]
     pub fn owners(&self) -> Vec<id::Owner> {
-        let mut owners: Vec<_> = self.lock().keys().cloned().collect();
+        let mut owners: Vec<_> = self.lock().accounts.keys().cloned().collect();
         owners.sort();
         owners
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<id::Owner, Account>> {
+    fn lock(&self) -> MutexGuard<'_, Book> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Changes the account of `owner`, which is created when there is room for one more.
-fn with_account<F>(accounts: &mut HashMap<id::Owner, Account>, owner: &id::Owner, change: F)
-where
-    F: FnOnce(&mut Account),
-{
-    if let Some(account) = accounts.get_mut(owner) {
-        change(account);
-    } else if accounts.len() < OWNER_LIMIT {
-        change(accounts.entry(owner.clone()).or_default());
+impl Book {
+    /// The account of `owner`, which is created when there is room for one more.
+    fn account(&mut self, owner: &id::Owner) -> Option<&mut Account> {
+        if !self.accounts.contains_key(owner) && self.accounts.len() >= OWNER_LIMIT {
+            return None;
+        }
+        Some(self.accounts.entry(owner.clone()).or_default())
+    }
+
+    fn record(&mut self, owner: &id::Owner, entry: Entry) {
+        let Some(account) = self.account(owner) else {
+            return;
+        };
+        account.counters.count(&entry);
+        account.failures.push_back(entry);
+        let full = account.failures.len() > FAILURE_LIMIT;
+        self.total += 1;
+        let longest = if full {
+            self.accounts.get_mut(owner)
+        } else if self.total > TOTAL_LIMIT {
+            let accounts = self.accounts.values_mut();
+            accounts.max_by_key(|account| account.failures.len())
+        } else {
+            None
+        };
+        if let Some(account) = longest {
+            account.failures.pop_front();
+            self.total -= 1;
+        }
     }
 }
 
