--- a/crates/call/tests/outcomes.rs
+++ b/crates/call/tests/outcomes.rs
@@ -245,6 +245,25 @@
     }
 }
 
+/// Guards against a retry that was refused and hides an earlier attempt that may have run.
+#[tokio::test]
+async fn refused_retry_does_not_hide_an_unknown_attempt() {
+    for round in 0..6 {
+        let world = World::new(service());
+        let broken = Upstream::start(Behaviour::CloseBeforeHead).await;
+        let _b = world.target("b", broken.address()).await;
+        let _c = world.target("c", closed_port().await).await;
+        let caller = world.node("a", None).await;
+        let answer = caller.caller.call(status("r1")).await;
+        assert_eq!(broken.runs("r1"), 1, "round {round}");
+        assert_eq!(
+            verdict(&answer),
+            "unknown service:renewals 502",
+            "round {round}"
+        );
+    }
+}
+
 /// Guards against an upstream that goes on with a call whose caller has hung up, before the head of
 /// the answer and inside its body.
 #[tokio::test]
