node: a planned stop answers every request that reached the process; added latency is measured

Answers carry the time that the upstream took (call.AnswerHead.upstream_us), so the node knows what the mesh added.

--- a/crates/call/src/answer.rs
+++ b/crates/call/src/answer.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use http::{HeaderMap, StatusCode};
 use types::{Fault, Outcome, Version, id};
 
@@ -22,6 +24,9 @@
     pub reason: String,
     /// Configuration version that the whole call used.
     pub version: Version,
+    /// Time from the hand-over to the head of the upstream's answer; `None` when no upstream answered
+    /// this call. The rest of the time to the head is what the mesh added.
+    pub upstream: Option<Duration>,
     /// Body. An error means that the answer is not whole: the front end must abort the connection to
     /// the caller and never end the answer properly.
     pub body: Body,
--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -91,6 +91,7 @@
         headers,
         load: head.load.as_ref().map(message::load),
         recorded: head.recorded,
+        upstream: Duration::from_micros(head.upstream_us),
         body: stream::unfold(Some(link), next_part).boxed(),
     })
 }
--- a/crates/call/src/ledger.rs
+++ b/crates/call/src/ledger.rs
@@ -62,6 +62,7 @@
             fault: failure.fault,
             reason: visible(&failure.reason),
             version: self.version,
+            upstream: None,
             body: Body::whole(text),
         }
     }
@@ -77,6 +78,7 @@
             _ => (Fault::None, "answered".to_owned()),
         };
         let (request, version) = (self.request.clone(), self.version);
+        let upstream = Some(reply.upstream).filter(|time| !time.is_zero());
         let delivery = Delivery {
             parts: reply.body,
             fault: fault.clone(),
@@ -92,6 +94,7 @@
             fault,
             reason,
             version,
+            upstream,
             body: Body::new(stream::unfold(Some(delivery), next_part)),
         }
     }
--- a/crates/call/src/reply.rs
+++ b/crates/call/src/reply.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures::stream::BoxStream;
 use http::{HeaderMap, StatusCode};
@@ -12,5 +14,7 @@
     pub(crate) load: Option<Load>,
     /// Whether the answer was recorded by an earlier run of the same key.
     pub(crate) recorded: bool,
+    /// Time from the hand-over to the head of the upstream's answer; zero for a recorded one.
+    pub(crate) upstream: Duration,
     pub(crate) body: BoxStream<'static, Result<Bytes, Cut>>,
 }
--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::{self, BoxStream, StreamExt};
@@ -22,6 +23,8 @@
     local: Arc<Local>,
     permit: Permit,
     once: Option<Arc<Once>>,
+    /// Time from the hand-over to the head of the answer.
+    upstream: Duration,
 }
 
 impl Run {
@@ -36,6 +39,7 @@
             local,
             permit,
             once,
+            upstream: Duration::ZERO,
         }
     }
 
@@ -85,10 +89,12 @@
             return Err(failure.with_load(self.local.gate.load()));
         }
         self.permit.hand_over();
+        let handed_over = Instant::now();
         let response = match self.local.upstream.send(&self.job, payload).await {
             Ok(response) => response,
             Err(error) => return Err(self.failure(error)),
         };
+        self.upstream = handed_over.elapsed();
         if upstream::is_shed(&response) {
             self.permit.take_back();
             self.local
@@ -141,6 +147,7 @@
         let status = response.status();
         let headers = upstream::without_hop_headers(response.headers().clone());
         let load = Some(self.local.gate.load());
+        let upstream = self.upstream;
         let body = Running {
             parts: response.bytes_stream().boxed(),
             run: self,
@@ -151,6 +158,7 @@
             headers,
             load,
             recorded: false,
+            upstream,
             body: stream::unfold(Some(body), next_part).boxed(),
         }
     }
@@ -259,6 +267,7 @@
         headers,
         load: Some(local.gate.load()),
         recorded: true,
+        upstream: Duration::ZERO,
         body: stream::iter(parts).boxed(),
     })
 }
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -119,6 +119,7 @@
         headers: message::headers(&reply.headers),
         load: reply.load.map(message::load_message),
         recorded: reply.recorded,
+        upstream_us: u64::try_from(reply.upstream.as_micros()).unwrap_or(u64::MAX),
     };
     sender.send(&message(Kind::Answer(head))).await?;
     let mut length = 0;
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -9,6 +9,7 @@
 use rocket::route::{Handler, Outcome};
 use rocket::{Build, Catcher, Data, Response, Rocket, Route, catcher};
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 use types::{Fault, Version, id, size};
 
 use crate::download::{Call, Download};
@@ -104,6 +105,7 @@
         request: &'r rocket::Request<'_>,
         mut data: Data<'r>,
     ) -> Response<'r> {
+        let start = Instant::now();
         let id = request_id(request);
         let Some(link) = request.remote().and_then(|peer| self.relay.link(peer)) else {
             let failure = Failure::caller(StatusCode::FORBIDDEN, "not a connection of the port");
@@ -123,6 +125,7 @@
             link: Arc::clone(&link),
             metrics: Arc::clone(&self.metrics),
             _permit: permit,
+            start,
             end: (types::Outcome::Unknown, Fault::Caller),
         };
         self.run(request.method(), call, held, (pump, data)).await
@@ -146,7 +149,7 @@
                 () = link.wait_gone() => return Response::new(),
             }
         };
-        held.set_end(&answer);
+        held.set_answer(&answer);
         respond(method, answer, |body| Download::new(body, pumping, held)).await
     }
 
@@ -279,6 +282,7 @@
         fault: failure.fault,
         reason: failure.reason,
         version,
+        upstream: None,
         body: call::Body::whole(bytes::Bytes::new()),
     };
     let mut response = Response::new();
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -99,6 +99,7 @@
 async fn stop(node: Arc<Node>, serving: Serving, limit: Deadline) {
     log::info!(in_flight = serving.callers.in_flight(); "stopping");
     node.drain();
+    serving.front.drain();
     let finished = timeout_at(limit.instant(), serving.callers.wait_idle());
     let (finished, running) = tokio::join!(finished, node.target.drain(limit));
     if finished.is_err() || running > 0 {
@@ -144,6 +145,7 @@
         fault: failure.fault,
         reason: failure.reason,
         version: node.spread.bundle().version,
+        upstream: None,
         body: Body::whole(bytes::Bytes::from_static(b"draining\n")),
     }
 }
--- a/crates/node/src/download.rs
+++ b/crates/node/src/download.rs
@@ -9,6 +9,7 @@
 use futures::future::BoxFuture;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
 use types::{Fault, Outcome};
 
 use crate::{Link, Metrics};
@@ -30,6 +31,8 @@
     pub link: Arc<Link>,
     pub metrics: Arc<Metrics>,
     pub _permit: OwnedSemaphorePermit,
+    /// Time at which the request reached its handler.
+    pub start: Instant,
     /// End of the call, counted when the call is dropped.
     pub end: (Outcome, Fault),
 }
@@ -98,8 +101,12 @@
 }
 
 impl Call {
-    /// Sets the end of the call to that of its answer.
-    pub fn set_end(&mut self, answer: &Answer) {
+    /// Sets the end of the call to that of its answer, whose head has come.
+    pub fn set_answer(&mut self, answer: &Answer) {
+        if let Some(upstream) = answer.upstream {
+            let added = self.start.elapsed().saturating_sub(upstream);
+            self.metrics.add_latency(added);
+        }
         self.end = (answer.outcome, answer.fault.clone());
     }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -55,7 +55,10 @@
             let _ = listening.send(rocket.config().port);
             Box::pin(async {})
         });
-        let rocket = rocket.attach(liftoff).attach(mark_busy(&relay));
+        let rocket = rocket
+            .attach(liftoff)
+            .attach(mark_busy(&relay))
+            .attach(end_connections(&relay));
         let rocket = rocket.ignite().await;
         let rocket = rocket.map_err(|error| Error::Server(error.to_string()))?;
         let shutdown = rocket.shutdown();
@@ -70,6 +73,11 @@
         Ok(Self { relay, shutdown })
     }
 
+    /// Lets connections end after the answer that they carry, while new ones are still served.
+    pub fn drain(&self) {
+        self.relay.drain();
+    }
+
     /// Ends each connection after the answer that it carries, and waits for the last one.
     pub async fn close(self) {
         self.relay.stop();
@@ -89,6 +97,17 @@
     })
 }
 
+/// Asks callers to leave their connections once a planned stop has begun.
+fn end_connections(relay: &Arc<Relay>) -> AdHoc {
+    let relay = Arc::clone(relay);
+    AdHoc::on_response("connections", move |_, response| {
+        if relay.is_draining() {
+            response.set_raw_header("connection", "close");
+        }
+        Box::pin(async {})
+    })
+}
+
 /// HTTP server without routes, with the settings that both ports share.
 ///
 /// It adds no headers of its own to answers, handles no signals and reads no settings from files
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -23,18 +23,39 @@
 /// Largest piece that is read from a socket at once, in bytes.
 const PIECE: usize = 16 * 1024;
 
-/// Longest time that the rest of a request is read after the server has closed its side. Without
-/// it, unread bytes make the kernel reset the connection and the caller may lose the answer.
+/// Longest time that a connection is kept after the server has closed its side: for the rest of a
+/// request, because unread bytes make the kernel reset the connection and the caller may lose the
+/// answer, and during a stop for a request that is on its way.
 const LINGER: Duration = Duration::from_secs(1);
 
 /// Wait after a failed accept, which happens when the process is out of file descriptors.
 const ACCEPT_WAIT: Duration = Duration::from_millis(50);
 
+/// How the relay of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// The server has ended its side and all its bytes are delivered.
+    Complete,
+    /// The server has reset its side, as it does when it stops while a request comes in.
+    Lost,
+    /// The answer was broken off, the caller has gone, or the connection was idle for too long.
+    Cut,
+}
+
+/// Progress of a planned stop.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    #[default]
+    Open,
+    Draining,
+    Stopping,
+}
+
 /// Open connections of callers by the port that the HTTP server sees.
 pub struct Relay {
     links: Mutex<HashMap<u16, Arc<Link>>>,
     open: watch::Sender<usize>,
-    stopping: watch::Sender<bool>,
+    stage: watch::Sender<Stage>,
     refusal: Box<dyn Fn() -> String + Send + Sync>,
 }
 
@@ -48,7 +69,7 @@
         Self {
             links: Mutex::default(),
             open: watch::Sender::default(),
-            stopping: watch::Sender::default(),
+            stage: watch::Sender::default(),
             refusal: Box::new(refusal),
         }
     }
@@ -57,37 +78,47 @@
     ///
     /// At most `limit` connections are open; further ones are closed at once.
     pub async fn accept(self: Arc<Self>, listener: TcpListener, server: SocketAddr, limit: usize) {
+        let accepting = Open::new(&self);
         let permits = Arc::new(Semaphore::new(limit));
-        let mut stopping = self.stopping.subscribe();
         loop {
-            let accepted = tokio::select! {
-                // Connections that wait in the queue of the listener still get an answer.
-                biased;
-                accepted = listener.accept() => accepted,
-                _ = stopping.wait_for(|stopping| *stopping) => return,
-            };
-            let caller = match accepted {
-                Ok((caller, _)) => caller,
-                Err(error) => {
-                    log::warn!(reason:% = error; "connection not accepted");
-                    sleep(ACCEPT_WAIT).await;
-                    continue;
-                }
-            };
-            let Ok(permit) = permits.clone().try_acquire_owned() else {
-                log::warn!(limit; "connection refused: too many are open");
-                continue;
-            };
-            let relay = Arc::clone(&self);
-            tokio::spawn(async move {
-                relay.open.send_modify(|open| *open += 1);
-                if let Err(error) = relay.carry(caller, server).await {
-                    log::debug!(reason:% = error; "connection ended");
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((caller, _)) => self.start(caller, server, &permits),
+                    Err(error) => {
+                        log::warn!(reason:% = error; "connection not accepted");
+                        sleep(ACCEPT_WAIT).await;
+                    }
+                },
+                () = self.wait_stopping() => break,
+            }
+        }
+        // The runtime may not know yet about connections that wait in the queue of the listener, and
+        // closing the listener resets them.
+        if let Ok(listener) = listener.into_std() {
+            while let Ok((caller, _)) = listener.accept() {
+                if let Ok(()) = caller.set_nonblocking(true)
+                    && let Ok(caller) = TcpStream::from_std(caller)
+                {
+                    self.start(caller, server, &permits);
                 }
-                relay.open.send_modify(|open| *open -= 1);
-                drop(permit);
-            });
+            }
         }
+        drop(accepting);
+    }
+
+    /// Starts the task of one connection, unless too many are open.
+    fn start(self: &Arc<Self>, caller: TcpStream, server: SocketAddr, permits: &Arc<Semaphore>) {
+        let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
+            log::warn!("connection refused: too many are open");
+            return;
+        };
+        let open = Open::new(self);
+        tokio::spawn(async move {
+            if let Err(error) = open.0.carry(caller, server).await {
+                log::debug!(reason:% = error; "connection ended");
+            }
+            drop(permit);
+        });
     }
 
     /// Connection that the HTTP server knows by its peer address.
@@ -96,9 +127,21 @@
         self.lock().get(&peer.port()).cloned()
     }
 
+    /// Lets connections end after the answer that they carry, so that callers open no further calls
+    /// on them.
+    pub fn drain(&self) {
+        self.stage.send_replace(Stage::Draining);
+    }
+
+    /// Whether connections end after the answer that they carry.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        *self.stage.borrow() != Stage::Open
+    }
+
     /// Takes no more connections; requests that the HTTP server no longer takes are refused.
     pub fn stop(&self) {
-        self.stopping.send_replace(true);
+        self.stage.send_replace(Stage::Stopping);
     }
 
     /// Waits until no connection is open.
@@ -111,8 +154,7 @@
         caller.set_nodelay(true)?;
         let server = match TcpStream::connect(server).await {
             Ok(server) => server,
-            Err(_) if self.is_stopping() => {
-                let _ = timeout(LINGER, caller.readable()).await;
+            Err(_) if self.is_stopping() && has_request(&caller).await => {
                 self.refuse(&mut caller).await;
                 return Ok(());
             }
@@ -125,17 +167,17 @@
         let port = server.local_addr()?.port();
         let link = Arc::new(Link::new());
         self.lock().insert(port, Arc::clone(&link));
-        let complete = run(&mut caller, server, &link).await;
+        let end = run(&mut caller, server, &link).await;
+        let idle = end != End::Cut && link.idle_deadline().is_some();
         link.hang_up();
         self.lock().remove(&port);
-        if !complete {
-            // A reset reaches the caller as an error even in the middle of a chunk.
-            return caller.set_zero_linger();
-        }
-        if self.is_stopping() && link.is_started() {
+        if self.is_stopping() && idle && (link.is_started() || has_request(&caller).await) {
             self.refuse(&mut caller).await;
-        } else {
+        } else if end == End::Complete {
             finish(&mut caller).await;
+        } else {
+            // A reset reaches the caller as an error even in the middle of a chunk.
+            caller.set_zero_linger()?;
         }
         Ok(())
     }
@@ -147,8 +189,14 @@
         finish(caller).await;
     }
 
+    async fn wait_stopping(&self) {
+        // The sender lives as long as `self`, so the wait cannot fail.
+        let mut stage = self.stage.subscribe();
+        let _ = stage.wait_for(|stage| *stage == Stage::Stopping).await;
+    }
+
     fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        *self.stage.borrow() == Stage::Stopping
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<u16, Arc<Link>>> {
@@ -156,9 +204,30 @@
     }
 }
 
+/// Counts as an open connection while it lives.
+struct Open(Arc<Relay>);
+
+impl Open {
+    fn new(relay: &Arc<Relay>) -> Self {
+        relay.open.send_modify(|open| *open += 1);
+        Self(Arc::clone(relay))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.send_modify(|open| *open -= 1);
+    }
+}
+
+/// Whether the caller sends another request within the time that its connection is kept for it. An
+/// idle connection that is closed at once loses a request that is already on its way.
+async fn has_request(caller: &TcpStream) -> bool {
+    matches!(timeout(LINGER, caller.peek(&mut [0])).await, Ok(Ok(1)))
+}
+
 /// Copies both directions until one side ends, the answer is broken off or the connection idles.
-/// True when the server has ended its side and all its bytes are delivered.
-async fn run(caller: &mut TcpStream, mut server: TcpStream, link: &Link) -> bool {
+async fn run(caller: &mut TcpStream, mut server: TcpStream, link: &Link) -> End {
     let (mut from_caller, mut to_caller) = caller.split();
     let (mut from_server, mut to_server) = server.split();
     let up = copy(&mut from_caller, &mut to_server, || {
@@ -169,14 +238,21 @@
     // off. Checked after each read, that end never reaches the caller.
     let down = copy(&mut from_server, &mut to_caller, || !link.is_broken());
     tokio::pin!(up, down);
-    let complete = tokio::select! {
-        // A request that cannot be passed on means that the server has ended its side.
-        result = &mut up => result.is_err() && down.await.is_ok(),
-        result = &mut down => result.is_ok(),
-        () = link.wait_broken() => false,
-        () = wait_idle(link) => false,
+    let delivered = tokio::select! {
+        result = &mut up => match result {
+            Ok(()) => return End::Cut,
+            // A request that cannot be passed on means that the server has ended its side.
+            Err(_) => down.await,
+        },
+        result = &mut down => result,
+        () = link.wait_broken() => return End::Cut,
+        () = wait_idle(link) => return End::Cut,
     };
-    complete && !link.is_broken()
+    match delivered {
+        _ if link.is_broken() => End::Cut,
+        Ok(()) => End::Complete,
+        Err(_) => End::Lost,
+    }
 }
 
 /// Copies until the end of the stream or until `allow` says no to a piece that was read.
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -1,6 +1,10 @@
 //! Contract of the caller port, with a backend in the test.
 
-#![allow(clippy::unwrap_used, reason = "a failed step ends the test")]
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed step ends the test"
+)]
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -55,6 +59,7 @@
         fault: Fault::None,
         reason: "answered".to_owned(),
         version: Version::new(7),
+        upstream: None,
         body,
     }
 }
--- a/crates/node/tests/processes/harness/mod.rs
+++ b/crates/node/tests/processes/harness/mod.rs
@@ -7,7 +7,7 @@
 use std::cell::RefCell;
 use std::fmt::Write;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Output;
 use std::time::Duration;
 
@@ -187,6 +187,18 @@
         .await;
     }
 
+    pub async fn metrics(&self, node: &Node) -> String {
+        let url = format!("{}/metrics", node.url("admin"));
+        self.client
+            .get(url)
+            .send()
+            .await
+            .unwrap()
+            .text()
+            .await
+            .unwrap()
+    }
+
     /// Log of an upstream.
     pub async fn log(&self, upstream: &Upstream) -> Vec<LogEntry> {
         let url = format!("http://{}/log", upstream.process.port("control"));
@@ -258,7 +270,7 @@
         answer.json().await.unwrap()
     }
 
-    async fn daemon(&self, id: &str, settings: &PathBuf) -> Process {
+    async fn daemon(&self, id: &str, settings: &Path) -> Process {
         let log = self.folder.path().join(format!("{id}.log"));
         let arguments = ["--settings", settings.to_str().unwrap()];
         Process::start("dandelionseamd", &arguments, &log).await
@@ -266,9 +278,10 @@
 
     fn write_settings(&self, plan: &Plan, [callers, peers, admin]: [&str; 3]) -> PathBuf {
         let seeds = self.seeds.borrow().join(", ");
-        let store = match plan.store.is_empty() {
-            true => self.store_url(),
-            false => plan.store.clone(),
+        let store = if plan.store.is_empty() {
+            self.store_url()
+        } else {
+            plan.store.clone()
         };
         let mut sections = vec![
             ("node", format!("id = {}", plan.id)),
--- a/crates/node/tests/processes/path.rs
+++ b/crates/node/tests/processes/path.rs
@@ -39,3 +39,37 @@
     assert_eq!(header(&none, "dandelionseam-outcome"), "not-run");
     assert_eq!(header(&none, "dandelionseam-fault"), "caller");
 }
+
+/// Guards against figures that are registered and never fed.
+#[tokio::test]
+async fn figures_follow_the_calls() {
+    let mesh = Mesh::start().await;
+    let (name, text) = service("desk", 2000);
+    mesh.publish(&[(&name, text)]).await;
+    let nodes = mesh.ready_nodes(&three_regions()).await;
+    let _upstream = mesh.upstream(&nodes[0], "desk", &["--echo"]).await;
+    mesh.wait_targets(&nodes[0], "desk", 1).await;
+    mesh.call(&nodes[0], "/desk").await;
+    mesh.call(&nodes[0], "/nothing").await;
+    let text = mesh.metrics(&nodes[0]).await;
+    for line in [
+        "dandelionseam_calls_total{fault=\"none\",outcome=\"ran\"} 1\n",
+        "dandelionseam_calls_total{fault=\"caller\",outcome=\"not-run\"} 1\n",
+        "dandelionseam_added_latency_seconds_count 1\n",
+        "dandelionseam_convergence_seconds_count 1\n",
+        "dandelionseam_version 1\n",
+        "dandelionseam_ready 1\n",
+    ] {
+        assert!(text.contains(line), "{line}: {text}");
+    }
+    for name in [
+        "dandelionseam_control_bytes_total{direction=\"sent\",kind=\"heartbeat\",region=",
+        "dandelionseam_store_calls_total{kind=\"range\"}",
+        "dandelionseam_resident_bytes",
+        "dandelionseam_processor_seconds",
+    ] {
+        let line = text.lines().find(|line| line.starts_with(name)).unwrap();
+        let value: f64 = line.rsplit(' ').next().unwrap().parse().unwrap();
+        assert!(value > 0.0, "{line}");
+    }
+}
--- a/crates/node/tests/processes/stop.rs
+++ b/crates/node/tests/processes/stop.rs
@@ -88,11 +88,11 @@
     let after = mesh.log(&upstreams[0]).await.len();
     assert_eq!(before, after, "new work without an announcement");
 
-    let loud = Behaviour {
+    let announcing = Behaviour {
         silent_announcer: false,
         ..silent
     };
-    mesh.set_behaviour(&upstreams[0], &loud).await;
+    mesh.set_behaviour(&upstreams[0], &announcing).await;
     wait_for(
         "calls after the announcement",
         Duration::from_secs(20),
