--- a/crates/spread/src/parent.rs
+++ b/crates/spread/src/parent.rs
@@ -1,6 +1,5 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 
 use member::Record;
 use schema::control::{self, Held, Resync, Welcome, message::Kind};
@@ -23,6 +22,10 @@
 /// Heartbeats between two checks of the own place in the tree.
 const PLACE_CHECK: u32 = 10;
 
+/// Heartbeats between two checks of the level of the parent. It is longer, because the level above may
+/// be full for good.
+const LEVEL_CHECK: u32 = 60;
+
 /// Keeps this node attached to a parent while it is not the reader.
 pub(crate) async fn run(shared: Shared) {
     let mut backoff = Backoff::default();
@@ -107,28 +110,11 @@
     if matches!(shared.role(), Role::Reader(_)) {
         return Lost::Reader;
     }
-    if let Some(record) = &welcome.record
-        && let Ok(record) = Record::try_from(record)
-    {
-        shared.merge(record, 0, Origin::Own);
-    }
-    if !welcome.known {
-        shared.known_before.store(false, Ordering::Relaxed);
-    }
-    shared.set_role(Role::Member);
-    shared.update_me(|me| me.parent = Some(parent.clone()));
-    shared
-        .attachment
-        .send_replace(Attachment::Attached(parent.clone()));
-    log::info!(
-        node = shared.place.id.as_str(), parent = parent.as_str(),
-        version = shared.version().get(), reason = "accepted"; "parent chosen"
-    );
-    let origin = Origin::Tree(shared.next_link());
+    enter(shared, parent, welcome);
     let mut side = Side {
         shared: shared.clone(),
         parent: parent.clone(),
-        exchange: Exchange::new(shared, origin, true),
+        exchange: Exchange::new(shared, Origin::Tree(shared.next_link()), true),
         link: *link,
         assembly: Assembly::default(),
         outstanding: None,
@@ -147,6 +133,26 @@
     lost
 }
 
+/// Records the new parent.
+fn enter(shared: &Shared, parent: &id::Node, welcome: &Welcome) {
+    if let Some(record) = &welcome.record
+        && let Ok(record) = Record::try_from(record)
+    {
+        shared.merge(record, 0, Origin::Own);
+    }
+    // Only the first parent can tell: later ones know this process already.
+    shared.known_before.get_or_init(|| welcome.known);
+    let attached = Attachment::Attached(parent.clone());
+    shared.attachment.send_replace(attached);
+    // After the attachment: the reader task checks it after it has begun to act as root.
+    shared.stop_acting();
+    shared.update_me(|me| me.parent = Some(parent.clone()));
+    log::info!(
+        node = shared.place.id.as_str(), parent = parent.as_str(),
+        version = shared.version().get(), reason = "accepted"; "parent chosen"
+    );
+}
+
 /// State of the child's side of a parent link.
 struct Side {
     shared: Shared,
@@ -246,8 +252,11 @@
     fn is_placed(&self) -> bool {
         let table = self.shared.table();
         let me = table.get(&self.shared.place.id);
+        let fanout = self.shared.config.fanout;
         me.is_none_or(|me| {
-            placement::is_placed(&table, me, &self.parent, self.shared.config.fanout)
+            placement::is_placed(&table, me, &self.parent, fanout)
+                && (!self.beats.is_multiple_of(LEVEL_CHECK)
+                    || placement::is_above(&table, me, &self.parent, fanout))
         })
     }
 
--- a/crates/spread/src/shared.rs
+++ b/crates/spread/src/shared.rs
@@ -1,8 +1,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::Deref;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard};
 
 use arc_swap::ArcSwap;
 use bundle::Bundle;
@@ -63,8 +63,8 @@
     pub(crate) lagging: watch::Sender<bool>,
     /// Time of the last answer of any peer to an attempt to attach.
     pub(crate) contact: watch::Sender<Option<Instant>>,
-    /// Whether the mesh may have known this address before the process started.
-    pub(crate) known_before: AtomicBool,
+    /// Whether the first parent knew this node or address from before the process started.
+    pub(crate) known_before: OnceLock<bool>,
     bundle: ArcSwap<Bundle>,
     history: Mutex<History>,
     table: RwLock<Table>,
@@ -74,6 +74,8 @@
     regions: Mutex<BTreeMap<id::Region, Region>>,
     convergence_ms: AtomicU64,
     links: AtomicU64,
+    /// Highest sequence used in a greeting.
+    greeted: AtomicU32,
 }
 
 /// Service, slots and state of the upstream beside the node.
@@ -142,7 +144,7 @@
             reader_address: watch::Sender::default(),
             lagging: watch::Sender::default(),
             contact: watch::Sender::default(),
-            known_before: AtomicBool::new(true),
+            known_before: OnceLock::new(),
             bundle: ArcSwap::new(empty),
             history: Mutex::default(),
             table: RwLock::new(table),
@@ -152,6 +154,7 @@
             regions: Mutex::default(),
             convergence_ms: AtomicU64::new(0),
             links: AtomicU64::new(1),
+            greeted: AtomicU32::new(0),
         }))
     }
 }
@@ -281,13 +284,26 @@
         let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
         let mut me = table.get(&self.place.id)?.clone();
         change(&mut me);
-        me.sequence = me.sequence.saturating_add(1);
+        let greeted = self.greeted.load(Ordering::Relaxed);
+        me.sequence = me.sequence.max(greeted).saturating_add(1);
         let merge = table.merge(me.clone(), Instant::now());
         drop(table);
         self.news.publish(&me.id, Origin::Own, merge);
         Some(me)
     }
 
+    /// Own record for a greeting to a parent, with a sequence of its own: the record that a parent
+    /// makes of it wins over those that earlier attempts have left elsewhere. It is not spread from
+    /// here, since most attempts of a herd are refused.
+    pub(crate) fn greeting(&self) -> Option<Record> {
+        let mut me = self.me()?;
+        me.parent = None;
+        let greeted = self.greeted.fetch_max(me.sequence, Ordering::Relaxed);
+        me.sequence = me.sequence.max(greeted).saturating_add(1);
+        self.greeted.fetch_max(me.sequence, Ordering::Relaxed);
+        Some(me)
+    }
+
     /// Sets the role; the own record follows.
     pub(crate) fn set_role(&self, role: Role) {
         let now = Instant::now();
@@ -303,6 +319,21 @@
         }
     }
 
+    /// Stops acting as root; false when the node did not act as root.
+    pub(crate) fn stop_acting(&self) -> bool {
+        let stopped = self.role.send_if_modified(|role| {
+            let acting = *role == Role::Acting;
+            if acting {
+                *role = Role::Member;
+            }
+            acting
+        });
+        if stopped {
+            self.update_me(|me| me.root = false);
+        }
+        stopped
+    }
+
     pub(crate) fn set_upstream(&self, upstream: Option<Upstream>) {
         let mut held = lock(&self.upstream);
         if *held == upstream {
@@ -320,6 +351,7 @@
         let draining = self.is_draining();
         self.update_me(|me| {
             me.state = match &upstream {
+                _ if me.state == State::Left => State::Left,
                 _ if draining => State::Draining,
                 _ if !ready => State::Starting,
                 Some((_, _, state)) => *state,
@@ -468,6 +500,15 @@
         }
     }
 
+    /// Heartbeat without summaries, for links that do not carry them.
+    pub(crate) fn short_heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            version: self.version().get(),
+            table: self.table().digest(),
+            summaries: Vec::new(),
+        }
+    }
+
     /// Whether versions travel along the tree.
     pub(crate) fn carries_versions(&self) -> bool {
         self.config.source == Source::Tree
