node, call: calls that a call in flight needs are served during a planned stop

An upstream finishes a call with calls of its own, through the node that is stopping. Those were refused, so a planned stop failed calls in flight. They carry the request id of the call they belong to, and the target side knows which ids run. A drain also waits for calls of an upstream that was withdrawn meanwhile. A caller that takes no piece of its answer for 10 s is broken off; the HTTP library would hold the call for ever.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -42,6 +42,7 @@
 //! ```
 
 mod accounts;
+mod active;
 mod announcement;
 mod answer;
 mod body;
--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 use types::{Fault, Outcome};
 
+use crate::active::Entry;
 use crate::gate::Permit;
 use crate::job::Job;
 use crate::local::Local;
@@ -23,6 +24,7 @@
     local: Arc<Local>,
     permit: Permit,
     once: Option<Arc<Once>>,
+    _entry: Entry,
     /// Time from the hand-over to the head of the answer.
     upstream: Duration,
 }
@@ -33,12 +35,14 @@
         local: Arc<Local>,
         permit: Permit,
         once: Option<Arc<Once>>,
+        entry: Entry,
     ) -> Self {
         Self {
             job,
             local,
             permit,
             once,
+            _entry: entry,
             upstream: Duration::ZERO,
         }
     }
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -7,8 +7,9 @@
 use store::Store;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
-use types::{Deadline, size};
+use types::{Deadline, id, size};
 
+use crate::active::Active;
 use crate::gate::Gate;
 use crate::job::Job;
 use crate::local::{Local, PROBE_INTERVAL};
@@ -27,6 +28,7 @@
     mesh: Mesh,
     once: Option<Arc<Once>>,
     local: ArcSwapOption<Local>,
+    active: Arc<Active>,
     draining: AtomicBool,
     announced: watch::Sender<Option<Announcement>>,
 }
@@ -41,6 +43,7 @@
             mesh,
             once,
             local: ArcSwapOption::empty(),
+            active: Arc::default(),
             draining: AtomicBool::new(false),
             announced: watch::Sender::new(None),
         }))
@@ -95,11 +98,19 @@
     /// Returns the number of calls that still run at the deadline.
     pub async fn drain(&self, deadline: Deadline) -> u32 {
         self.0.draining.store(true, Ordering::Release);
-        let Some(local) = self.0.local.load_full() else {
-            return 0;
-        };
-        local.gate.update(|admission| admission.set_draining(true));
-        local.gate.wait_idle(deadline).await
+        if let Some(local) = self.0.local.load_full() {
+            local.gate.update(|admission| admission.set_draining(true));
+            local.gate.wait_idle(deadline).await;
+        }
+        // Calls of an upstream that was withdrawn meanwhile run on.
+        self.0.active.wait_idle(deadline).await
+    }
+
+    /// Whether a call with this request id runs at the upstream. Calls that the upstream makes for it
+    /// carry the same id.
+    #[must_use]
+    pub fn is_running(&self, request: &id::Request) -> bool {
+        self.0.active.contains(request)
     }
 
     /// Runs a call at the upstream. Dropping the future or the reply cancels the call.
@@ -118,7 +129,10 @@
             }
         };
         let once = self.0.once.clone();
-        Run::new(job, local, permit, once).start(payload).await
+        let entry = self.0.active.add(&job.request);
+        Run::new(job, local, permit, once, entry)
+            .start(payload)
+            .await
     }
 
     /// Checks what does not depend on the load.
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -8,11 +8,11 @@
 use rocket::http::{Method, Status};
 use rocket::route::{Handler, Outcome};
 use rocket::{Build, Catcher, Data, Response, Rocket, Route, catcher};
-use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use types::{Fault, Version, id, size};
 
 use crate::download::{Call, Download};
+use crate::gate::Gate;
 use crate::upload::{self, Pump};
 use crate::{Metrics, Relay, headers, server};
 
@@ -58,7 +58,7 @@
     relay: Arc<Relay>,
     metrics: Arc<Metrics>,
     limits: Limits,
-    permits: Arc<Semaphore>,
+    gate: Arc<Gate>,
 }
 
 impl Callers {
@@ -70,7 +70,7 @@
             relay,
             metrics,
             limits,
-            permits: Arc::new(Semaphore::new(limits.in_flight)),
+            gate: Arc::new(Gate::new(limits.in_flight)),
         }
     }
 
@@ -89,14 +89,12 @@
     /// Calls in flight, counted until their answers are delivered.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        self.limits.in_flight - self.permits.available_permits()
+        self.gate.count()
     }
 
     /// Waits until no call is in flight.
     pub async fn wait_idle(&self) {
-        let all = u32::try_from(self.limits.in_flight).unwrap_or(u32::MAX);
-        // The semaphore is never closed, so the wait cannot fail.
-        let _ = self.permits.acquire_many(all).await;
+        self.gate.wait_idle().await;
     }
 
     /// Runs one request from its head to the start of its answer.
@@ -111,7 +109,7 @@
             let failure = Failure::caller(StatusCode::FORBIDDEN, "not a connection of the port");
             return self.fail(id, failure);
         };
-        let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else {
+        let Some(pass) = self.gate.enter() else {
             return self.fail(id, Failure::mesh("too many calls at this node"));
         };
         let method = true_method(request, &mut data).await;
@@ -124,7 +122,7 @@
         let held = Call {
             link: Arc::clone(&link),
             metrics: Arc::clone(&self.metrics),
-            _permit: permit,
+            _pass: pass,
             start,
             end: (types::Outcome::Unknown, Fault::Caller),
         };
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -127,7 +127,8 @@
 
 fn serve(node: Arc<Node>, request: Request) -> BoxFuture<'static, Answer> {
     async move {
-        if node.is_draining() {
+        // The upstream may need calls of its own to finish the calls in flight.
+        if node.is_draining() && !node.target.is_running(&request.id) {
             return refuse(&node, &request);
         }
         node.caller.call(request).await
--- a/crates/node/src/download.rs
+++ b/crates/node/src/download.rs
@@ -8,10 +8,10 @@
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use types::{Fault, Outcome};
 
+use crate::gate::Pass;
 use crate::{Link, Metrics};
 
 /// Body of an answer on its way to the caller.
@@ -30,7 +30,7 @@
 pub struct Call {
     pub link: Arc<Link>,
     pub metrics: Arc<Metrics>,
-    pub _permit: OwnedSemaphorePermit,
+    pub _pass: Pass,
     /// Time at which the request reached its handler.
     pub start: Instant,
     /// End of the call, counted when the call is dropped.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod download;
 mod error;
 mod front;
+mod gate;
 mod headers;
 mod link;
 pub mod logs;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -28,6 +28,10 @@
 /// answer, and during a stop for a request that is on its way.
 const LINGER: Duration = Duration::from_secs(1);
 
+/// Longest time for a caller to take one piece of its answer. The HTTP library does not look at a body
+/// while an earlier piece waits, so a caller that reads nothing would hold its call for ever.
+const STALL_LIMIT: Duration = Duration::from_secs(10);
+
 /// Wait after a failed accept, which happens when the process is out of file descriptors.
 const ACCEPT_WAIT: Duration = Duration::from_millis(50);
 
@@ -230,13 +234,16 @@
 async fn run(caller: &mut TcpStream, mut server: TcpStream, link: &Link) -> End {
     let (mut from_caller, mut to_caller) = caller.split();
     let (mut from_server, mut to_server) = server.split();
-    let up = copy(&mut from_caller, &mut to_server, || {
+    // The deadline of the call limits the time for which its request is not read.
+    let up = copy(&mut from_caller, &mut to_server, Duration::MAX, || {
         link.note_bytes();
         true
     });
     // The server ends a failed answer like a complete one, but only after the connection was broken
     // off. Checked after each read, that end never reaches the caller.
-    let down = copy(&mut from_server, &mut to_caller, || !link.is_broken());
+    let down = copy(&mut from_server, &mut to_caller, STALL_LIMIT, || {
+        !link.is_broken()
+    });
     tokio::pin!(up, down);
     let delivered = tokio::select! {
         result = &mut up => match result {
@@ -255,8 +262,14 @@
     }
 }
 
-/// Copies until the end of the stream or until `allow` says no to a piece that was read.
-async fn copy<F>(reader: &mut ReadHalf<'_>, writer: &mut WriteHalf<'_>, allow: F) -> io::Result<()>
+/// Copies until the end of the stream, until a piece is not taken within `limit`, or until `allow`
+/// says no to a piece that was read.
+async fn copy<F>(
+    reader: &mut ReadHalf<'_>,
+    writer: &mut WriteHalf<'_>,
+    limit: Duration,
+    allow: F,
+) -> io::Result<()>
 where
     F: Fn() -> bool,
 {
@@ -266,7 +279,7 @@
         let mut buffer = BytesMut::with_capacity(PIECE);
         match reader.try_read_buf(&mut buffer) {
             Ok(0) => return Ok(()),
-            Ok(_) if allow() => writer.write_all(&buffer).await?,
+            Ok(_) if allow() => timeout(limit, writer.write_all(&buffer)).await??,
             Ok(_) => return Err(io::ErrorKind::ConnectionAborted.into()),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             Err(error) => return Err(error),
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -244,6 +244,33 @@
     assert_eq!(dropped, Ok(None), "the call must be dropped");
 }
 
+/// Guards against a caller that reads nothing and holds its call for ever.
+#[tokio::test]
+async fn stalled_reader_is_broken_off() {
+    let (started, mut starts) = mpsc::channel::<mpsc::Receiver<()>>(1);
+    let address = start(move |request| {
+        let started = started.clone();
+        async move {
+            let (alive, watch) = mpsc::channel::<()>(1);
+            started.send(watch).await.unwrap();
+            let parts = stream::repeat_with(move || {
+                let _ = &alive;
+                Ok(Bytes::from(vec![0; 65_536]))
+            });
+            answer(&request, Body::new(parts))
+        }
+        .boxed()
+    })
+    .await;
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    socket.write_all(request).await.unwrap();
+    let mut alive = starts.recv().await.unwrap();
+    // The bound for one piece of an answer is 10 s.
+    let dropped = timeout(Duration::from_secs(20), alive.recv()).await;
+    assert_eq!(dropped, Ok(None), "the call must be dropped");
+}
+
 /// Guards against bad input that ends the process, is run, or stops the port for others.
 #[tokio::test]
 async fn bad_input_is_refused() {
--- a/crates/node/tests/processes/stop.rs
+++ b/crates/node/tests/processes/stop.rs
@@ -64,6 +64,35 @@
     assert_eq!(stopped.state, "left");
 }
 
+/// Guards against a planned stop that refuses the calls which a call in flight needs to finish (P8).
+#[tokio::test]
+async fn planned_stop_lets_calls_in_flight_make_their_own() {
+    let mesh = Mesh::start().await;
+    let (desk, text) = service("desk", 10_000);
+    let (archive, other) = service("archive", 5000);
+    mesh.publish(&[(&desk, text), (&archive, other)]).await;
+    let plans = [
+        Plan::new("n1", "north", "north-a"),
+        Plan::new("n2", "north", "north-b"),
+    ];
+    let mut nodes = mesh.ready_nodes(&plans).await;
+    let nested = format!("{}/archive", nodes[0].url("callers"));
+    let arguments = ["--service-us", "1500000", "--nested-url", &nested, "--echo"];
+    let outer = mesh.upstream(&nodes[0], "desk", &arguments).await;
+    let inner = mesh.upstream(&nodes[1], "archive", &["--echo"]).await;
+    mesh.wait_targets(&nodes[0], "archive", 1).await;
+    mesh.wait_targets(&nodes[1], "desk", 1).await;
+    let call = mesh.request(&nodes[1], Method::POST, "/desk");
+    let running = tokio::spawn(call.header("dandelionseam-request-id", "r-1").send());
+    runs_at(&mesh, std::slice::from_ref(&outer), "r-1").await;
+    nodes[0].process.signal("TERM").await;
+    let answer = running.await.unwrap().unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(mesh.runs(&inner, "r-1").await, 1);
+    let status = nodes[0].process.wait(Duration::from_secs(20)).await;
+    assert!(status.success(), "{status}");
+}
+
 /// Guards against new work for an upstream that said that it leaves, or stopped announcing (P7).
 #[tokio::test]
 async fn leaving_upstream_gets_no_new_work() {
