--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -99,6 +99,7 @@
 async fn stop(node: Arc<Node>, serving: Serving, limit: Deadline) {
     log::info!(in_flight = serving.callers.in_flight(); "stopping");
     node.drain();
+    serving.front.drain();
     let finished = timeout_at(limit.instant(), serving.callers.wait_idle());
     let (finished, running) = tokio::join!(finished, node.target.drain(limit));
     if finished.is_err() || running > 0 {
@@ -126,7 +127,8 @@
 
 fn serve(node: Arc<Node>, request: Request) -> BoxFuture<'static, Answer> {
     async move {
-        if node.is_draining() {
+        // The upstream may need calls of its own to finish the calls in flight.
+        if node.is_draining() && !node.target.is_running(&request.id) {
             return refuse(&node, &request);
         }
         node.caller.call(request).await
@@ -144,6 +146,7 @@
         fault: failure.fault,
         reason: failure.reason,
         version: node.spread.bundle().version,
+        upstream: None,
         body: Body::whole(bytes::Bytes::from_static(b"draining\n")),
     }
 }
