Let the store's head carry the differences from the version before

Cause: for each change, the reader of each region read the whole manifest over a link that is billed by volume: 141,277 bytes for each change with 470 services and 4 readers, 35 KB for each reader. The digest of the result is checked as before.

--- a/crates/bundle/src/convert.rs
+++ b/crates/bundle/src/convert.rs
@@ -6,7 +6,7 @@
 use types::rate::Percent;
 use types::{Digest, InvalidDigest, Timestamp, Version, id, size};
 
-use crate::{Delta, Entry, Manifest, Piece, Reach, Route, Service};
+use crate::{Delta, Entry, Manifest, Piece, Reach, Route, Service, Step};
 
 /// Reason why a message of the schema is not a configuration.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
@@ -170,6 +170,38 @@
     }
 }
 
+impl From<&Step> for message::Head {
+    fn from(step: &Step) -> Self {
+        Self {
+            version: step.to.get(),
+            digest: step.digest.as_bytes().to_vec(),
+            published_ms: step.published.get(),
+            parent: step.from.get(),
+            complete: true,
+            changed: step.changed.iter().map(Into::into).collect(),
+            removed: step.removed.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
+impl TryFrom<&message::Head> for Step {
+    type Error = Invalid;
+
+    /// Reads the step of a head whose differences are complete.
+    fn try_from(head: &message::Head) -> Result<Self, Invalid> {
+        let changed = head.changed.iter().cloned().map(Entry::try_from);
+        let removed = head.removed.iter().map(|name| name.parse());
+        Ok(Self {
+            from: Version::new(head.parent),
+            to: Version::new(head.version),
+            changed: changed.collect::<Result<_, _>>()?,
+            removed: removed.collect::<Result<_, _>>()?,
+            digest: Digest::try_from(head.digest.as_slice())?,
+            published: Timestamp::new(head.published_ms),
+        })
+    }
+}
+
 impl From<&Entry> for message::Entry {
     fn from(entry: &Entry) -> Self {
         Self {
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -35,6 +35,7 @@
 mod route;
 mod service;
 mod source;
+mod step;
 mod validate;
 
 pub use bundle::Bundle;
@@ -48,4 +49,5 @@
 pub use route::Route;
 pub use service::{Service, piece_digest};
 pub use source::Source;
+pub use step::Step;
 pub use validate::{METHODS, PATH_LIMIT, PIECE_LIMIT, SERVICE_LIMIT, validate};
--- a/crates/bundle/tests/versions.rs
+++ b/crates/bundle/tests/versions.rs
@@ -7,11 +7,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use bundle::{Bundle, Change, Conflict, Delta, Manifest, Piece, Service, merge};
+use bundle::{Bundle, Change, Conflict, Delta, Manifest, Piece, Service, Step, merge};
 use common::plain;
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use schema::{codec, control::Update};
+use schema::{bundle::Head, codec, control::Update};
 use types::{Timestamp, Version, id};
 
 const NAMES: [&str; 4] = ["a", "b", "c", "d"];
@@ -178,11 +178,24 @@
         let missing = next.missing(bundle).into_iter();
         let read = missing.map(|entry| Arc::clone(&self.pieces[&piece_name(&entry.piece)]));
         let made = bundle.apply(&next.delta(bundle, read.collect())).unwrap();
+        assert_eq!(self.take_step(bundle, head, &next), made);
         self.bundles.push(made);
         self.manifests.push(next);
         Ok(())
     }
 
+    /// Version that a reader gets from the head alone, without the manifest.
+    fn take_step(&self, held: &Bundle, head: &Manifest, next: &Manifest) -> Bundle {
+        let message = Head::from(&Step::between(head, next).unwrap());
+        let step = Step::try_from(&message).unwrap();
+        let read = step
+            .changed
+            .iter()
+            .map(|entry| Arc::clone(&self.pieces[&piece_name(&entry.piece)]));
+        let read = read.collect();
+        held.apply(&step.delta(read)).unwrap()
+    }
+
     /// The delta as it arrives; `None` when it cannot be decoded.
     fn transfer(&self, from: usize, to: usize, damage: &Damage) -> Option<Delta> {
         let mut delta = Delta::between(&self.bundles[from], &self.bundles[to]);
--- a/crates/cli/src/swap.rs
+++ b/crates/cli/src/swap.rs
@@ -1,6 +1,6 @@
 //! The transaction that makes a version visible.
 
-use bundle::{Manifest, Piece};
+use bundle::{Manifest, Piece, Step};
 use schema::bundle as message;
 use store::{Compare, Operation, Reply, Revision, Txn, TxnReply, keys};
 use types::{Deadline, Version};
@@ -125,11 +125,10 @@
     expired: Option<Manifest>,
     deadline: Deadline,
 ) -> Result<Txn, Failure> {
-    let head = message::Head {
-        version: next.version.get(),
-        digest: next.digest.as_bytes().to_vec(),
-        published_ms: next.published.get(),
-    };
+    let step = Step::between(&newest.manifest, next);
+    let head = step
+        .as_ref()
+        .map_or_else(|| head_without_step(next), Into::into);
     let publication = message::Publication {
         version: next.version.get(),
     };
@@ -153,6 +152,17 @@
     Ok(txn)
 }
 
+/// Head of a version with too many changes to name them; readers then read the manifest.
+fn head_without_step(next: &Manifest) -> message::Head {
+    message::Head {
+        version: next.version.get(),
+        digest: next.digest.as_bytes().to_vec(),
+        published_ms: next.published.get(),
+        parent: next.parent.get(),
+        ..message::Head::default()
+    }
+}
+
 /// Deletes the pieces that do not fit into the transaction and returns those that do. The expired
 /// version replaced them, and no older manifest is kept, so nothing uses them even if the
 /// transaction fails.
--- a/crates/spread/src/source.rs
+++ b/crates/spread/src/source.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bundle::{Bundle, Entry, Manifest, Service, piece_digest};
+use bundle::{Bundle, Entry, Manifest, Service, Step, piece_digest};
 use futures::{StreamExt, TryStreamExt, stream};
 use schema::bundle::{Head, Manifest as ManifestMessage, ServiceConfig};
 use store::{Change, Event, Revision, Span, Store, Watch, keys, values};
@@ -103,11 +103,28 @@
     if version <= current.version {
         return Ok(());
     }
-    let bundle = load(store, shared, &current, version).await?;
+    let bundle = if head.complete && head.parent == current.version.get() {
+        take_step(store, shared, &current, head).await?
+    } else {
+        load(store, shared, &current, version).await?
+    };
     shared.install(bundle, "store");
     Ok(())
 }
 
+/// Reads the pieces of the step from the held version to the one of `head`.
+async fn take_step(
+    store: &Store,
+    shared: &Shared,
+    held: &Bundle,
+    head: &Head,
+) -> Result<Bundle, Failure> {
+    let step = Step::try_from(head)?;
+    let services = read_pieces(store, shared, step.changed.clone()).await?;
+    Ok(held.apply(&step.delta(services))?)
+}
+
+/// Reads the manifest of `version` and the pieces that the held version lacks.
 async fn load(
     store: &Store,
     shared: &Shared,
@@ -119,16 +136,23 @@
     let value = store.get(&key, Deadline::after(limit)).await?;
     let value = value.ok_or(Failure::Absent(key))?;
     let manifest = Manifest::try_from(values::decode::<ManifestMessage>(&value.bytes)?)?;
-    let entries: Vec<Entry> = manifest.missing(held).into_iter().cloned().collect();
+    let entries = manifest.missing(held).into_iter().cloned().collect();
+    let services = read_pieces(store, shared, entries).await?;
+    Ok(held.apply(&manifest.delta(held, services))?)
+}
+
+async fn read_pieces(
+    store: &Store,
+    shared: &Shared,
+    entries: Vec<Entry>,
+) -> Result<Vec<Arc<Service>>, Failure> {
+    let limit = shared.config.store_limit;
     let reads = entries.into_iter().map(|entry| {
         let store = store.clone();
         async move { read_piece(&store, &entry, Deadline::after(limit)).await }
     });
-    let services: Vec<_> = stream::iter(reads)
-        .buffer_unordered(READS)
-        .try_collect()
-        .await?;
-    Ok(held.apply(&manifest.delta(held, services))?)
+    let reads = stream::iter(reads).buffer_unordered(READS);
+    reads.try_collect().await
 }
 
 async fn read_piece(
--- a/crates/spread/tests/support/publisher.rs
+++ b/crates/spread/tests/support/publisher.rs
@@ -1,4 +1,4 @@
-use bundle::{Bundle, Change, Manifest, Service, Source};
+use bundle::{Bundle, Change, Manifest, Service, Source, Step};
 use schema::bundle::{Head, ServiceConfig};
 use store::{Operation, Store, Txn, keys, values};
 use types::{Deadline, Timestamp, Version};
@@ -58,11 +58,17 @@
             store.put(&key, bytes, None, deadline).await.unwrap();
         }
     }
-    let head = Head {
-        version: version.get(),
-        digest: manifest.digest.as_bytes().to_vec(),
-        published_ms: manifest.published.get(),
-    };
+    // Every second version has no step, so that readers take both ways.
+    let step = Step::between(&parent, &manifest).filter(|_| version.get().is_multiple_of(2));
+    let head = step.as_ref().map_or_else(
+        || Head {
+            version: version.get(),
+            digest: manifest.digest.as_bytes().to_vec(),
+            published_ms: manifest.published.get(),
+            ..Head::default()
+        },
+        Head::from,
+    );
     let txn = [
         (keys::HEAD.to_owned(), values::encode(&head).unwrap()),
         (
--- a/crates/store/tests/layout.rs
+++ b/crates/store/tests/layout.rs
@@ -44,6 +44,7 @@
         version: 7,
         digest: vec![1, 2],
         published_ms: 3,
+        ..Head::default()
     };
     let value = values::encode(&head).unwrap();
     assert_eq!(value[0], 1);
