--- a/crates/bundle/tests/versions.rs
+++ b/crates/bundle/tests/versions.rs
@@ -1,5 +1,7 @@
 //! Random publishing and random transfers against an oracle on plain maps.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 mod common;
 
 use std::collections::{BTreeMap, HashMap};
@@ -149,41 +151,34 @@
     fn publish(&mut self, age: usize, edits: &Edits) -> Result<(), Conflict> {
         self.publications += 1;
         let id: id::Publication = format!("p{}", self.publications).parse().unwrap();
-        let set = edits
-            .iter()
-            .filter_map(|(name, tag)| Some(plain(NAMES[*name], "o", &tag.as_ref()?.to_string())));
-        let set: Vec<_> = set.collect();
-        let removed = edits
-            .iter()
-            .filter(|(_, tag)| tag.is_none())
-            .map(|(name, _)| NAMES[*name].parse().unwrap());
+        let (mut set, mut removed) = (Vec::new(), Vec::new());
+        for (name, tag) in edits {
+            match tag {
+                Some(tag) => set.push(plain(NAMES[*name], "o", &tag.to_string())),
+                None => removed.push(NAMES[*name].parse().unwrap()),
+            }
+        }
         let change = Change::new(id.clone(), "tester", Timestamp::new(self.publications))
             .with_services(&set)
             .with_removed(removed);
         let newest = self.manifests.len() - 1;
-        let next = merge(
+        let (base, head) = (
             &self.manifests[newest - age.min(newest)],
             &self.manifests[newest],
-            &change,
-        )?;
-        if next.version == self.manifests[newest].version {
+        );
+        let next = merge(base, head, &change)?;
+        if next.version == head.version {
             return Ok(());
         }
         for service in set {
-            self.pieces
-                .insert(format!("{id}/{}", service.name), Arc::new(service));
+            let name = format!("{id}/{}", service.name);
+            self.pieces.insert(name, Arc::new(service));
         }
-        let read = next
-            .missing(&self.bundles[newest])
-            .iter()
-            .map(|entry| Arc::clone(&self.pieces[&piece_name(&entry.piece)]))
-            .collect();
-        let delta = next.delta(&self.bundles[newest], read);
-        self.bundles.push(
-            self.bundles[newest]
-                .apply(&delta)
-                .expect("the version that a publisher made"),
-        );
+        let bundle = &self.bundles[newest];
+        let missing = next.missing(bundle).into_iter();
+        let read = missing.map(|entry| Arc::clone(&self.pieces[&piece_name(&entry.piece)]));
+        let made = bundle.apply(&next.delta(bundle, read.collect())).unwrap();
+        self.bundles.push(made);
         self.manifests.push(next);
         Ok(())
     }
@@ -193,10 +188,10 @@
         let mut delta = Delta::between(&self.bundles[from], &self.bundles[to]);
         match damage {
             Damage::LoseChanged(at) if !delta.changed.is_empty() => {
-                drop(delta.changed.remove(at % delta.changed.len()))
+                drop(delta.changed.remove(at % delta.changed.len()));
             }
             Damage::LoseRemoved(at) if !delta.removed.is_empty() => {
-                drop(delta.removed.remove(at % delta.removed.len()))
+                drop(delta.removed.remove(at % delta.removed.len()));
             }
             Damage::OtherTarget(version) => delta.to = Version::new(*version),
             _ => {}
@@ -233,11 +228,8 @@
             Transition::Publish { age, edits } => {
                 // The model has taken the step already; a refused or empty change left it as it was.
                 let accepted = system.publish(age, &edits).is_ok();
-                assert_eq!(
-                    system.manifests.len(),
-                    model.history.len(),
-                    "accepted: {accepted}"
-                );
+                let (made, expected) = (system.manifests.len(), model.history.len());
+                assert_eq!(made, expected, "accepted: {accepted}");
             }
             Transition::Deliver { from, to, damage } => {
                 let (from, to) = model.versions(from, to);
--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::{self, BoxStream, StreamExt};
@@ -7,11 +8,12 @@
 use tokio::time::{Instant, timeout_at};
 use types::{Fault, Outcome};
 
+use crate::active::Entry;
 use crate::gate::Permit;
-use crate::held::Held;
 use crate::job::Job;
 use crate::local::Local;
 use crate::once::{ANSWER_LIMIT, Claim, Once, Permission};
+use crate::payload::Payload;
 use crate::reply::Reply;
 use crate::upstream::{self, SendError};
 use crate::{Cut, Failure, message};
@@ -22,6 +24,9 @@
     local: Arc<Local>,
     permit: Permit,
     once: Option<Arc<Once>>,
+    _entry: Entry,
+    /// Time from the hand-over to the head of the answer.
+    upstream: Duration,
 }
 
 impl Run {
@@ -30,27 +35,33 @@
         local: Arc<Local>,
         permit: Permit,
         once: Option<Arc<Once>>,
+        entry: Entry,
     ) -> Self {
         Self {
             job,
             local,
             permit,
             once,
+            _entry: entry,
+            upstream: Duration::ZERO,
         }
     }
 
     /// Runs the call, under a claim when it has an idempotency key and must not be repeated.
-    pub(crate) async fn start(mut self, held: Held) -> Result<Reply, Failure> {
+    pub(crate) async fn start(mut self, payload: Payload) -> Result<Reply, Failure> {
         let key = self.job.key.clone().filter(|_| !self.job.repeatable);
         let Some(key) = key else {
-            let response = self.send(&held).await?;
+            let response = self.send(&payload).await?;
             return Ok(self.reply(response, None));
         };
         let once = self
             .once
             .clone()
             .ok_or_else(|| Failure::mesh("no store for calls with idempotency keys"))?;
-        let claim = match once.claim(&self.job, &key).await? {
+        let permission = once.claim(&self.job, &key).await;
+        // The load shows the caller's node that the target itself is not broken.
+        let permission = permission.map_err(|failure| failure.with_load(self.local.gate.load()))?;
+        let claim = match permission {
             Permission::Run(claim) => claim,
             Permission::Ran(record) => return replay(record, &self.local),
             Permission::Taken => {
@@ -62,7 +73,7 @@
                 ));
             }
         };
-        match self.send(&held).await {
+        match self.send(&payload).await {
             Ok(response) => {
                 let record = Recording::new(once, claim, &response);
                 Ok(self.reply(response, Some(record)))
@@ -79,16 +90,18 @@
     }
 
     /// Sends the request once and takes the head of the answer.
-    async fn send(&mut self, held: &Held) -> Result<Response, Failure> {
+    async fn send(&mut self, payload: &Payload) -> Result<Response, Failure> {
         if self.job.deadline.has_passed(Instant::now()) {
             let failure = Failure::service(&self.job.service, "deadline passed before hand-over");
             return Err(failure.with_load(self.local.gate.load()));
         }
         self.permit.hand_over();
-        let response = match self.local.upstream.send(&self.job, held).await {
+        let handed_over = Instant::now();
+        let response = match self.local.upstream.send(&self.job, payload).await {
             Ok(response) => response,
             Err(error) => return Err(self.failure(error)),
         };
+        self.upstream = handed_over.elapsed();
         if upstream::is_shed(&response) {
             self.permit.take_back();
             self.local
@@ -141,6 +154,7 @@
         let status = response.status();
         let headers = upstream::without_hop_headers(response.headers().clone());
         let load = Some(self.local.gate.load());
+        let upstream = self.upstream;
         let body = Running {
             parts: response.bytes_stream().boxed(),
             run: self,
@@ -151,6 +165,7 @@
             headers,
             load,
             recorded: false,
+            upstream,
             body: stream::unfold(Some(body), next_part).boxed(),
         }
     }
@@ -259,6 +274,7 @@
         headers,
         load: Some(local.gate.load()),
         recorded: true,
+        upstream: Duration::ZERO,
         body: stream::iter(parts).boxed(),
     })
 }
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -7,13 +7,14 @@
 use store::Store;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
-use types::Deadline;
+use types::{Deadline, id, size};
 
+use crate::active::Active;
 use crate::gate::Gate;
-use crate::held::Held;
 use crate::job::Job;
 use crate::local::{Local, PROBE_INTERVAL};
 use crate::once::Once;
+use crate::payload::Payload;
 use crate::reply::Reply;
 use crate::run::Run;
 use crate::upstream::Upstream;
@@ -27,6 +28,7 @@
     mesh: Mesh,
     once: Option<Arc<Once>>,
     local: ArcSwapOption<Local>,
+    active: Arc<Active>,
     draining: AtomicBool,
     announced: watch::Sender<Option<Announcement>>,
 }
@@ -41,6 +43,7 @@
             mesh,
             once,
             local: ArcSwapOption::empty(),
+            active: Arc::default(),
             draining: AtomicBool::new(false),
             announced: watch::Sender::new(None),
         }))
@@ -55,12 +58,14 @@
     /// Returns an error when the HTTP client cannot be set up.
     pub fn announce(&self, announcement: Announcement) -> Result<(), reqwest::Error> {
         let draining = self.0.draining.load(Ordering::Acquire);
+        let routes = self.0.mesh.routes();
+        let queue = routes.queue(&announcement.service, announcement.slots);
         let known = self.0.local.load_full();
         if let Some(local) = known.filter(|local| local.is_same(&announcement)) {
-            local.announce(announcement, draining);
+            local.announce(announcement, queue, draining);
         } else {
-            let local = Arc::new(self.0.create(announcement.clone())?);
-            local.announce(announcement, draining);
+            let local = Arc::new(create(announcement.clone(), queue)?);
+            local.announce(announcement, queue, draining);
             self.0.local.store(Some(Arc::clone(&local)));
             tokio::spawn(supervise(Arc::downgrade(&self.0), local));
         }
@@ -93,11 +98,19 @@
     /// Returns the number of calls that still run at the deadline.
     pub async fn drain(&self, deadline: Deadline) -> u32 {
         self.0.draining.store(true, Ordering::Release);
-        let Some(local) = self.0.local.load_full() else {
-            return 0;
-        };
-        local.gate.update(|admission| admission.set_draining(true));
-        local.gate.wait_idle(deadline).await
+        if let Some(local) = self.0.local.load_full() {
+            local.gate.update(|admission| admission.set_draining(true));
+            local.gate.wait_idle(deadline).await;
+        }
+        // Calls of an upstream that was withdrawn meanwhile run on.
+        self.0.active.wait_idle(deadline).await
+    }
+
+    /// Whether a call with this request id runs at the upstream. Calls that the upstream makes for it
+    /// carry the same id.
+    #[must_use]
+    pub fn is_running(&self, request: &id::Request) -> bool {
+        self.0.active.contains(request)
     }
 
     /// Runs a call at the upstream. Dropping the future or the reply cancels the call.
@@ -106,7 +119,7 @@
     ///
     /// Returns a failure with outcome `not-run` only when nothing was sent to the upstream, or the
     /// upstream refused the call itself.
-    pub(crate) async fn run(&self, job: Job, held: Held) -> Result<Reply, Failure> {
+    pub(crate) async fn run(&self, job: Job, payload: Payload) -> Result<Reply, Failure> {
         let local = self.admit(&job)?;
         let permit = match local.gate.enter(job.deadline).await {
             Ok(permit) => permit,
@@ -116,7 +129,10 @@
             }
         };
         let once = self.0.once.clone();
-        Run::new(job, local, permit, once).start(held).await
+        let entry = self.0.active.add(&job.request);
+        Run::new(job, local, permit, once, entry)
+            .start(payload)
+            .await
     }
 
     /// Checks what does not depend on the load.
@@ -143,14 +159,6 @@
 }
 
 impl Shared {
-    fn create(&self, announcement: Announcement) -> Result<Local, reqwest::Error> {
-        let (slots, connections) = (announcement.slots, announcement.connections);
-        let queue = self.mesh.routes().queue(&announcement.service, slots);
-        let upstream = Upstream::new(announcement.address, slots, connections)?;
-        let usable = Upstream::usable_slots(slots, connections);
-        Ok(Local::new(announcement, Gate::new(usable, queue), upstream))
-    }
-
     fn publish(&self) {
         let current = self.local.load();
         let announcement = current.as_ref().and_then(|local| local.announcement());
@@ -169,6 +177,13 @@
     }
 }
 
+fn create(announcement: Announcement, queue: size::Queue) -> Result<Local, reqwest::Error> {
+    let (slots, connections) = (announcement.slots, announcement.connections);
+    let upstream = Upstream::new(announcement.address, slots, connections)?;
+    let usable = Upstream::usable_slots(slots, connections);
+    Ok(Local::new(announcement, Gate::new(usable, queue), upstream))
+}
+
 /// Probes an upstream each second until its announcement lapses or is replaced.
 async fn supervise(shared: Weak<Shared>, local: Arc<Local>) {
     loop {
--- a/crates/member/src/tree.rs
+++ b/crates/member/src/tree.rs
@@ -9,9 +9,15 @@
 use crate::table::{Key, Members};
 use crate::{Record, Table};
 
-/// Most candidates that are returned. It covers every node of the first three levels that a full
-/// parent could refer a child to.
-pub const CANDIDATES: usize = 16;
+/// Candidates of the level above. More would only delay a child whose whole level above is full.
+const ABOVE: usize = 8;
+
+/// Candidates of all levels above together.
+const HIGHER: usize = 12;
+
+/// Most candidates that are returned. Those after [`HIGHER`] are nodes of the own level: in a small
+/// domain chance can leave the level above too small for its children.
+pub const CANDIDATES: usize = 20;
 
 /// Peers that a started node asks for the version its address has held.
 pub const WITNESSES: usize = 4;
@@ -31,19 +37,21 @@
     let own = levels.level(mine);
     let mut keys = Vec::new();
     for level in (0..own).rev() {
-        keys.extend(ranked(members, levels.range(level), mine));
-        if keys.len() >= CANDIDATES {
+        keys.extend(
+            ranked(members, levels.range(level), mine)
+                .into_iter()
+                .take(ABOVE),
+        );
+        if keys.len() >= HIGHER {
             break;
         }
     }
+    keys.truncate(HIGHER);
     let lowest = levels.range(own).start;
     let same = members.live.range(bound(lowest)..bound(mine));
-    keys.extend(same.map(|(_, key)| *key));
+    keys.extend(same.map(|(_, key)| *key).take(CANDIDATES - keys.len()));
     let nodes = keys.into_iter().map(|key| table.record(key).id.clone());
-    nodes
-        .filter(|node| *node != me.id)
-        .take(CANDIDATES)
-        .collect()
+    nodes.filter(|node| *node != me.id).collect()
 }
 
 /// Nodes of other failure domains of the region at the level above `me`, in order of preference.
@@ -143,37 +151,30 @@
 /// Nodes whose chain of parents leads to `lost` and that have not gone.
 #[must_use]
 pub fn orphans(table: &Table, lost: &id::Node) -> Vec<id::Node> {
-    let mut seen = BTreeSet::from([lost.clone()]);
-    let mut nodes = Vec::new();
-    let mut open = vec![lost.clone()];
-    while let Some(parent) = open.pop() {
-        for child in table.children(&parent) {
-            // Records in flight may name each other as parents for a moment.
-            if seen.insert(child.id.clone()) {
-                nodes.push(child.id.clone());
-                open.push(child.id.clone());
-            }
-        }
-    }
-    nodes
+    let keys = table.descendants(lost);
+    keys.keys()
+        .map(|key| table.record(key).id.clone())
+        .collect()
 }
 
 /// Nodes of the region of `root` that have not gone and whose chain of parents does not lead to it.
 /// Other roots of the region are among them: nobody else would report a reader that has died.
 #[must_use]
 pub fn detached(table: &Table, root: &Record) -> Vec<id::Node> {
-    let attached: BTreeSet<_> = orphans(table, &root.id).into_iter().collect();
-    let records = table.iter().filter(|record| {
-        record.region == root.region && record.id != root.id && !record.state.is_gone()
+    let attached = table.descendants(&root.id);
+    let records = table.keyed().filter(|(key, record)| {
+        record.region == root.region && !record.state.is_gone() && !attached.contains_key(*key)
     });
-    let detached = records.filter(|record| !attached.contains(&record.id));
-    detached.map(|record| record.id.clone()).collect()
+    let others = records.filter(|(_, record)| record.id != root.id);
+    others.map(|(_, record)| record.id.clone()).collect()
 }
 
-/// Whether `parent` may have `child` as a child without risk of a cycle.
+/// Whether `parent` may have `child` as a child without risk of a cycle. A tree never leaves its
+/// region: the root of the child's own region would report the child as detached.
 #[must_use]
 pub fn may_adopt(parent: &Record, child: &Record) -> bool {
-    parent.root || (parent.domain == child.domain && priority(&parent.id) < priority(&child.id))
+    let precedes = parent.domain == child.domain && priority(&parent.id) < priority(&child.id);
+    parent.region == child.region && (parent.root || precedes)
 }
 
 /// Level of `me` in its failure domain.
--- a/crates/node/src/download.rs
+++ b/crates/node/src/download.rs
@@ -8,10 +8,11 @@
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
 use types::{Fault, Outcome};
 
-use crate::{Busy, Link, Metrics};
+use crate::gate::Pass;
+use crate::{Link, Metrics};
 
 /// Body of an answer on its way to the caller.
 ///
@@ -29,8 +30,9 @@
 pub struct Call {
     pub link: Arc<Link>,
     pub metrics: Arc<Metrics>,
-    pub permit: OwnedSemaphorePermit,
-    pub busy: Busy,
+    pub _pass: Pass,
+    /// Time at which the request reached its handler.
+    pub start: Instant,
     /// End of the call, counted when the call is dropped.
     pub end: (Outcome, Fault),
 }
@@ -99,8 +101,12 @@
 }
 
 impl Call {
-    /// Sets the end of the call to that of its answer.
-    pub fn set_end(&mut self, answer: &Answer) {
+    /// Sets the end of the call to that of its answer, whose head has come.
+    pub fn set_answer(&mut self, answer: &Answer) {
+        if let Some(upstream) = answer.upstream {
+            let added = self.start.elapsed().saturating_sub(upstream);
+            self.metrics.add_latency(added);
+        }
         self.end = (answer.outcome, answer.fault.clone());
     }
 }
--- /dev/null
+++ b/crates/node/tests/processes/main.rs
@@ -0,0 +1,15 @@
+//! End-to-end tests with real processes on free loopback ports.
+//!
+//! The stand-ins and the tool are taken from the build folder of the workspace.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a failed step ends the test"
+)]
+
+mod change;
+mod harness;
+mod input;
+mod path;
+mod stop;
--- a/crates/spread/src/link.rs
+++ b/crates/spread/src/link.rs
@@ -11,8 +11,9 @@
 use crate::shared::Shared;
 use crate::traffic::{Direction, kind_name};
 
-/// Messages that wait in the queue of one link. A snapshot takes a few of them.
-const QUEUE: usize = 64;
+/// Messages that wait in the queue of one link. With parts of bounded size this bounds the memory that
+/// a slow peer holds.
+const QUEUE: usize = 16;
 
 /// Longest wait for the queue of a link that is closed as planned.
 const FLUSH_LIMIT: Duration = Duration::from_millis(500);
@@ -129,8 +130,14 @@
     pub(crate) async fn close(mut self) {
         let (closed, _) = mpsc::channel(1);
         drop(std::mem::replace(&mut self.queue, closed));
-        // A peer that does not read must not hold up a stop.
-        let _ = timeout(FLUSH_LIMIT, &mut self.sending).await;
+        // Dropping both directions resets the stream, and what is not yet on the wire is lost. The peer
+        // ends its side once it has read the last message. One that does not read must not hold up a
+        // stop.
+        let _ = timeout(FLUSH_LIMIT, async {
+            let _ = (&mut self.sending).await;
+            while let Ok(Some(_)) = self.receiver.recv::<Message>().await {}
+        })
+        .await;
     }
 }
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes as Buffer;
@@ -8,9 +9,11 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::liveness::Liveness;
+use crate::socket::Socket;
 use crate::{
     CONNECTION_WINDOW, Error, HEADER_LIMIT, Kind, PROTOCOL, PROTOCOL_HEADER, Receiver,
-    STREAM_WINDOW, Sender, Stream, liveness,
+    STREAM_WINDOW, Sender, Stream,
 };
 
 /// Longest time for the `h2` handshake. It bounds the memory that a slow or silent sender holds.
@@ -33,6 +36,8 @@
     F: Future<Output = ()> + Send + 'static,
 {
     socket.set_nodelay(true).map_err(Error::Connect)?;
+    let liveness = Arc::new(Liveness::new());
+    let socket = Socket::new(socket, Arc::clone(&liveness));
     let handshake = Builder::new()
         .initial_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
@@ -42,12 +47,12 @@
     let mut connection = timeout(HANDSHAKE_LIMIT, handshake)
         .await
         .map_err(|_| Error::ConnectDeadline)??;
-    let mut silent = Box::pin(liveness::watch(connection.ping_pong()));
+    let mut silent = Box::pin(liveness.watch(connection.ping_pong()));
     loop {
         tokio::select! {
             accepted = connection.accept() => match accepted {
                 Some(Ok((request, response))) => {
-                    if let Some((kind, stream)) = accept(request, response) {
+                    if let Some((kind, stream)) = accept(request, response, &liveness) {
                         tokio::spawn(handle(kind, stream));
                     }
                 }
@@ -63,6 +68,7 @@
 fn accept(
     request: Request<RecvStream>,
     mut response: SendResponse<Buffer>,
+    liveness: &Arc<Liveness>,
 ) -> Option<(Kind, Stream)> {
     let kind = Kind::from_path(request.uri().path());
     let protocol = request
@@ -86,7 +92,7 @@
     let kind = kind.filter(|_| status == StatusCode::OK)?;
     let stream = Stream {
         sender: Sender::new(sender),
-        receiver: Receiver::open(request.into_body()),
+        receiver: Receiver::open(request.into_body(), liveness),
     };
     Some((kind, stream))
 }
