Keep the tree of a region inside the region, and find readers sooner

A trial of 180 nodes in 3 regions did not come up in 40 s: a reader took nodes of other regions as children, and these never got a place in their own. A node asks a reader that the store has just named at once, and readers look for other regions every 4 s while one is missing. A node tries two standbys, so a full first choice no longer leaves it without one.

--- a/crates/member/src/tree.rs
+++ b/crates/member/src/tree.rs
@@ -169,10 +169,13 @@
     others.map(|(_, record)| record.id.clone()).collect()
 }
 
-/// Whether `parent` may have `child` as a child without risk of a cycle.
+/// Whether `parent` may have `child` as a child without risk of a cycle: as the root of the region, or
+/// as a node of the same failure domain with a lower priority.
 #[must_use]
 pub fn may_adopt(parent: &Record, child: &Record) -> bool {
-    parent.root || (parent.domain == child.domain && priority(&parent.id) < priority(&child.id))
+    let same_domain = parent.domain == child.domain;
+    parent.region == child.region
+        && (parent.root || (same_domain && priority(&parent.id) < priority(&child.id)))
 }
 
 /// Level of `me` in its failure domain.
--- a/crates/spread/src/parent.rs
+++ b/crates/spread/src/parent.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use member::Record;
 use schema::control::{self, Held, Resync, Welcome, message::Kind};
@@ -32,7 +33,7 @@
     let mut excluded = None;
     loop {
         wait_not_reader(&shared).await;
-        sleep(backoff.next(rand::random())).await;
+        pause(&shared, backoff.next(rand::random())).await;
         let Some((link, parent, welcome)) = attach(&shared, excluded.take()).await else {
             continue;
         };
@@ -54,6 +55,16 @@
     }
 }
 
+/// Waits before an attempt. A reader that the store has just named is asked at once: the nodes that
+/// read its name are spread over time already.
+async fn pause(shared: &Shared, wait: Duration) {
+    let mut reader = shared.reader_address.subscribe();
+    tokio::select! {
+        () = sleep(wait) => {}
+        Ok(()) = reader.changed() => {}
+    }
+}
+
 async fn wait_not_reader(shared: &Shared) {
     wait_for(&shared.role, |role| !matches!(role, Role::Reader(_))).await;
 }
--- a/crates/spread/src/region.rs
+++ b/crates/spread/src/region.rs
@@ -19,7 +19,7 @@
 const SEARCH: Duration = Duration::from_secs(2);
 
 /// Time between two reads of all readers in the store, made only while a region has no link.
-const STORE_SEARCH: Duration = Duration::from_secs(10);
+const STORE_SEARCH: Duration = Duration::from_secs(4);
 
 /// Keeps links to the roots of other regions while this node is the root of its own. Of two regions
 /// the one with the lower name dials.
--- a/crates/spread/src/standby.rs
+++ b/crates/spread/src/standby.rs
@@ -19,6 +19,9 @@
 /// Heartbeats between two checks of the choice of standby.
 const CHOICE_CHECK: u32 = 10;
 
+/// Standbys that are tried: half of the witnesses.
+const CHOICES: usize = member::WITNESSES / 2;
+
 /// Keeps a link to a standby parent.
 pub(crate) async fn run(shared: Shared) {
     let mut backoff = Backoff::default();
@@ -31,7 +34,7 @@
         backoff.reset();
         log::info!(
             node = shared.place.id.as_str(), standby = standby.as_str(),
-            reason = "first choice beside the parent"; "standby chosen"
+            reason = "next choice beside the parent"; "standby chosen"
         );
         let Err(lost) = follow(&shared, link, &standby).await else {
             continue;
@@ -54,19 +57,25 @@
     }
 }
 
-fn choose(shared: &Shared) -> Option<Record> {
+/// Nodes that may be the standby; these are the ones that are asked for the floor after a restart.
+fn choices(shared: &Shared) -> Vec<Record> {
     let table = shared.table();
-    let me = table.get(&shared.place.id)?;
-    let node = member::standby(&table, me, me.parent.as_ref(), shared.config.fanout)?;
-    table.get(&node).cloned()
+    let Some(me) = table.get(&shared.place.id) else {
+        return Vec::new();
+    };
+    let nodes = member::standbys(&table, me, shared.config.fanout);
+    let others = nodes.iter().filter(|node| me.parent.as_ref() != Some(node));
+    let records = others.filter_map(|node| table.get(node).cloned());
+    records.take(CHOICES).collect()
 }
 
 async fn open(shared: &Shared) -> Option<(Box<Link>, id::Node)> {
-    let standby = choose(shared)?;
-    match dial(shared, standby.address, control::Link::Standby).await {
-        Dialled::Open(link, _) => Some((link, standby.id)),
-        Dialled::Busy(..) | Dialled::Failed => None,
+    for choice in choices(shared) {
+        if let Dialled::Open(link, _) = dial(shared, choice.address, control::Link::Standby).await {
+            return Some((link, choice.id));
+        }
     }
+    None
 }
 
 /// Reports the held version and compares it with that of the standby, until the link is lost.
@@ -91,7 +100,7 @@
                 send_beat(shared, &link).await?;
                 beats += 1;
                 if beats.is_multiple_of(CHOICE_CHECK)
-                    && choose(shared).is_some_and(|choice| choice.id != *standby)
+                    && choices(shared).iter().all(|choice| choice.id != *standby)
                 {
                     return Err(Lost::Misplaced);
                 }
--- a/crates/spread/tests/decisions.rs
+++ b/crates/spread/tests/decisions.rs
@@ -144,6 +144,15 @@
             true,
         ),
         (&low, reader, &low, false),
+        (
+            &low,
+            reader,
+            &Record {
+                region: "south".parse().unwrap(),
+                ..high.clone()
+            },
+            false,
+        ),
     ];
     for (me, role, child, expected) in cases {
         assert_eq!(
