Keep the slots in use when an upstream announces other sizes

A change of the announced slots began a new admission, so that calls already running did not count. The sizes now change in place, and an upstream that becomes ready anew counts as cold again.

--- a/crates/call/src/local.rs
+++ b/crates/call/src/local.rs
@@ -36,14 +36,10 @@
         }
     }
 
-    /// Whether an announcement comes from this upstream with the same sizes, so that its connections
-    /// and slots can be kept.
+    /// Whether an announcement comes from this upstream, so that its slots and the trust in it are kept.
     pub(crate) fn is_same(&self, new: &Announcement) -> bool {
         let old = &self.lock().announcement;
-        old.service == new.service
-            && old.address == new.address
-            && old.slots == new.slots
-            && old.connections == new.connections
+        old.service == new.service && old.address == new.address
     }
 
     /// Whether this upstream runs `service`.
@@ -54,14 +50,24 @@
     /// Renews the announcement. `queue` is the limit of the configuration in force, `draining` says
     /// that the node itself takes no new calls.
     pub(crate) fn announce(&self, announcement: Announcement, queue: size::Queue, draining: bool) {
+        let (slots, connections) = (announcement.slots, announcement.connections);
+        let usable = Upstream::usable_slots(slots, connections);
         let draining = draining || announcement.state == Stage::Draining;
+        self.upstream.resize(slots, connections);
+        let ready_anew = {
+            let mut state = self.lock();
+            let before = state.announcement.state;
+            state.presence.announce(announcement.state, Instant::now());
+            state.announcement = announcement;
+            before != Stage::Ready && state.announcement.state == Stage::Ready
+        };
         self.gate.update(|admission| {
-            admission.set_queue(queue);
+            admission.resize(usable, queue);
             admission.set_draining(draining);
+            if ready_anew {
+                admission.restart(Instant::now());
+            }
         });
-        let mut state = self.lock();
-        state.presence.announce(announcement.state, Instant::now());
-        state.announcement = announcement;
     }
 
     /// Changes the trust in the upstream and passes the result on to its slots.
--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -1,5 +1,7 @@
 use std::error::Error as _;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -7,7 +9,6 @@
 use http::{HeaderMap, Method, StatusCode};
 use reqwest::{Body, Client, Response, Url, redirect, retry};
 use route::Probe;
-use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 use types::{Deadline, size};
 
@@ -40,7 +41,8 @@
 /// HTTP client of one upstream.
 pub(crate) struct Upstream {
     address: SocketAddr,
-    idle: usize,
+    /// Connections that are kept when unused.
+    idle: AtomicUsize,
     /// Client for calls that may be repeated; it keeps connections.
     pooled: ArcSwap<Client>,
     /// Client for calls that must not be repeated and for probes: each one has a new connection.
@@ -68,11 +70,10 @@
         slots: size::Slots,
         connections: size::Connections,
     ) -> Result<Self, reqwest::Error> {
-        let spare = connections.get().saturating_sub(slots.get() + 1);
-        let idle = spare.min(slots.get()) as usize;
+        let idle = idle(slots, connections);
         Ok(Self {
             address,
-            idle,
+            idle: AtomicUsize::new(idle),
             pooled: ArcSwap::from_pointee(client(idle)?),
             single: client(0)?,
         })
@@ -109,9 +110,17 @@
         }
     }
 
+    /// Follows a change of the declared sizes.
+    pub(crate) fn resize(&self, slots: size::Slots, connections: size::Connections) {
+        let idle = idle(slots, connections);
+        if self.idle.swap(idle, Ordering::Relaxed) != idle {
+            self.drop_idle();
+        }
+    }
+
     /// Drops the idle connections, which may have gone silent.
     pub(crate) fn drop_idle(&self) {
-        if let Ok(client) = client(self.idle) {
+        if let Ok(client) = client(self.idle.load(Ordering::Relaxed)) {
             self.pooled.store(Arc::new(client));
         }
     }
@@ -127,6 +136,15 @@
     }
 }
 
+/// Connections to keep when unused, so that those in use, those kept and one for probes stay within
+/// the declared number.
+fn idle(slots: size::Slots, connections: size::Connections) -> usize {
+    let spare = connections
+        .get()
+        .saturating_sub(slots.get().saturating_add(1));
+    spare.min(slots.get()) as usize
+}
+
 fn client(idle: usize) -> Result<Client, reqwest::Error> {
     Client::builder()
         .no_proxy()
--- a/crates/call/tests/load.rs
+++ b/crates/call/tests/load.rs
@@ -129,6 +129,24 @@
     assert_eq!(upstream.runs("late"), 0);
 }
 
+/// Guards against more runs than slots when an upstream declares fewer slots while calls run.
+#[tokio::test]
+async fn changed_slots_hold_for_calls_that_run_already() {
+    let world = World::new(service());
+    let upstream = Upstream::start(Behaviour::Slow(Duration::from_millis(150))).await;
+    let target = world.target("b", upstream.address()).await;
+    let caller = target.caller.clone();
+    let first = tokio::spawn(async move { caller.call(renewal("r0")).await.body.read().await });
+    upstream.wait_run("r0").await;
+    let mut narrow = announcement(upstream.address());
+    narrow.slots = size::Slots::new(1);
+    target.target.announce(narrow).unwrap();
+    let second = target.caller.call(renewal("r1")).await;
+    assert_eq!(verdict(&second), "ran none 200", "{}", second.reason);
+    first.await.unwrap().unwrap();
+    assert_eq!(upstream.most_running(), 1);
+}
+
 /// Guards against a drain that cuts off a call in flight or takes a new one.
 #[tokio::test]
 async fn drain_finishes_what_runs_and_refuses_the_rest() {
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -87,11 +87,17 @@
         }
     }
 
-    /// Changes the limit of the queue; calls that wait already are kept.
-    pub const fn set_queue(&mut self, queue_limit: size::Queue) {
+    /// Changes the declared sizes; calls that run or wait already are kept.
+    pub const fn resize(&mut self, slots: size::Slots, queue_limit: size::Queue) {
+        self.limit.resize(slots);
         self.queue_limit = queue_limit;
     }
 
+    /// Marks that the upstream became ready anew, so that it counts as cold again.
+    pub const fn restart(&mut self, now: Instant) {
+        self.limit.restart(now);
+    }
+
     /// Refuses new calls and those in the queue, or takes calls again.
     pub const fn set_draining(&mut self, draining: bool) {
         self.draining = draining;
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -35,6 +35,15 @@
         }
     }
 
+    pub(crate) const fn resize(&mut self, slots: Slots) {
+        self.slots = slots;
+    }
+
+    pub(crate) const fn restart(&mut self, now: Instant) {
+        self.ready_since = now;
+        self.reduced = None;
+    }
+
     pub(crate) const fn set_doubted(&mut self, doubted: bool) {
         self.doubted = doubted;
     }
