--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream::{self, BoxStream, StreamExt};
@@ -7,6 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 use types::{Fault, Outcome};
 
+use crate::active::Entry;
 use crate::gate::Permit;
 use crate::job::Job;
 use crate::local::Local;
@@ -22,6 +24,9 @@
     local: Arc<Local>,
     permit: Permit,
     once: Option<Arc<Once>>,
+    _entry: Entry,
+    /// Time from the hand-over to the head of the answer.
+    upstream: Duration,
 }
 
 impl Run {
@@ -30,12 +35,15 @@
         local: Arc<Local>,
         permit: Permit,
         once: Option<Arc<Once>>,
+        entry: Entry,
     ) -> Self {
         Self {
             job,
             local,
             permit,
             once,
+            _entry: entry,
+            upstream: Duration::ZERO,
         }
     }
 
@@ -88,10 +96,12 @@
             return Err(failure.with_load(self.local.gate.load()));
         }
         self.permit.hand_over();
+        let handed_over = Instant::now();
         let response = match self.local.upstream.send(&self.job, payload).await {
             Ok(response) => response,
             Err(error) => return Err(self.failure(error)),
         };
+        self.upstream = handed_over.elapsed();
         if upstream::is_shed(&response) {
             self.permit.take_back();
             self.local
@@ -144,6 +154,7 @@
         let status = response.status();
         let headers = upstream::without_hop_headers(response.headers().clone());
         let load = Some(self.local.gate.load());
+        let upstream = self.upstream;
         let body = Running {
             parts: response.bytes_stream().boxed(),
             run: self,
@@ -154,6 +165,7 @@
             headers,
             load,
             recorded: false,
+            upstream,
             body: stream::unfold(Some(body), next_part).boxed(),
         }
     }
@@ -262,6 +274,7 @@
         headers,
         load: Some(local.gate.load()),
         recorded: true,
+        upstream: Duration::ZERO,
         body: stream::iter(parts).boxed(),
     })
 }
