--- a/crates/spread/src/region.rs
+++ b/crates/spread/src/region.rs
@@ -18,7 +18,8 @@
 /// Time between two looks for regions without a link.
 const SEARCH: Duration = Duration::from_secs(2);
 
-/// Time between two reads of all readers in the store, made only while a region has no link.
+/// Time between two reads of all readers in the store. A region that started later is known to nobody
+/// else, and two groups of linked regions do not know that they are apart, so the reads never stop.
 const STORE_SEARCH: Duration = Duration::from_secs(10);
 
 /// Keeps links to the roots of other regions while this node is the root of its own. Of two regions
@@ -33,7 +34,7 @@
         if !shared.is_root() {
             continue;
         }
-        if is_incomplete(&shared) && Instant::now() >= next_read {
+        if Instant::now() >= next_read {
             next_read = Instant::now() + STORE_SEARCH;
             let deadline = Deadline::after(shared.config.store_limit);
             readers = lease::readers(&shared, deadline).await.unwrap_or_default();
@@ -44,13 +45,6 @@
     }
 }
 
-/// Whether a known region has no link, or no other region is known.
-fn is_incomplete(shared: &Shared) -> bool {
-    let linked = shared.regions().len();
-    let known = shared.table().regions().len();
-    known <= 1 || linked + 1 < known
-}
-
 /// Regions that this node must dial, with the addresses to ask.
 fn missing(
     shared: &Shared,
