--- a/crates/spread/src/region.rs
+++ b/crates/spread/src/region.rs
@@ -20,7 +20,7 @@
 
 /// Time between two reads of all readers in the store. A region that started later is known to nobody
 /// else, and two groups of linked regions do not know that they are apart, so the reads never stop.
-const STORE_SEARCH: Duration = Duration::from_secs(10);
+const STORE_SEARCH: Duration = Duration::from_secs(4);
 
 /// Keeps links to the roots of other regions while this node is the root of its own. Of two regions
 /// the one with the lower name dials.
