call: keep idempotency keys of equally named routes apart

Cause: the record of a key was named by owner, route and key, but route names are unique only within the file of one service, so a caller could get the stored answer of another service's route. Change: the name of the service that declares the route is part of the record's name; the call's head carries it. Result: the new test, two services with a route of one name, passes. With the service left out of the record's name it fails: the second call gets the recorded answer of the first.

--- a/crates/bundle/tests/versions.rs
+++ b/crates/bundle/tests/versions.rs
@@ -185,8 +185,8 @@
     }
 
     /// Version that a reader gets from the head alone, without the manifest.
-    fn take_step(&self, held: &Bundle, head: &Manifest, next: &Manifest) -> Bundle {
-        let message = Head::from(&Step::between(head, next).unwrap());
+    fn take_step(&self, held: &Bundle, newest: &Manifest, next: &Manifest) -> Bundle {
+        let message = Head::from(&Step::between(newest, next).unwrap());
         let step = Step::try_from(&message).unwrap();
         let read = step
             .changed
--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -237,6 +237,7 @@
         request: request.id,
         owner,
         service: plan.service.clone(),
+        declared_by: plan.declared_by.clone(),
         route: plan.route.clone(),
         method: request.method,
         target: request.target,
--- a/crates/call/src/once.rs
+++ b/crates/call/src/once.rs
@@ -95,7 +95,7 @@
         if !self.try_take(Instant::now()) {
             return Err(Failure::mesh("too many calls with idempotency keys"));
         }
-        let key = keys::once(&job.owner, &job.route, key);
+        let key = keys::once(&job.owner, &job.declared_by, &job.route, key);
         let id = format!("{:032x}", rand::rng().random::<u128>());
         let mut last = Error::NotSent("no time left".to_owned());
         for _ in 0..CREATE_ATTEMPTS {
--- a/crates/call/tests/once.rs
+++ b/crates/call/tests/once.rs
@@ -269,3 +269,25 @@
     }
     assert!(ran >= 4, "only {ran} keys ran at all");
 }
+
+/// Guards against the answer of another route: route names are unique in one file only, and an owner
+/// may use the same key on two routes.
+#[tokio::test]
+async fn routes_of_one_name_in_two_files_do_not_share_keys() {
+    let setup = start().await;
+    let mut other = service();
+    other.name = "bookings".parse().unwrap();
+    for route in &mut other.routes {
+        route.path = format!("/bookings{}", route.path);
+    }
+    let services = [service(), other];
+    let bundle = bundle::Bundle::new(types::Version::new(8), types::Timestamp::new(2), services);
+    setup.world.bundle.store(Arc::new(bundle.unwrap()));
+    let first = text(setup.node.caller.call(keyed("r1")).await).await;
+    assert_eq!(first.1, "answered");
+    let mut booking = keyed("r2");
+    booking.target = "/bookings/renew".to_owned();
+    let second = text(setup.node.caller.call(booking).await).await;
+    assert_eq!(second.1, "answered");
+    assert_eq!(second.2, b"r2\npayment".to_vec());
+}
--- a/crates/route/src/routes.rs
+++ b/crates/route/src/routes.rs
@@ -11,7 +11,9 @@
 /// Everything that a call needs to know about its route, taken from one configuration version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
-    /// Route that matched.
+    /// Service whose file has the route.
+    pub declared_by: id::Service,
+    /// Route that matched; its name is unique in that file only.
     pub route: id::Route,
     /// Owner of the file with the route.
     pub owner: id::Owner,
@@ -146,6 +148,7 @@
 
 fn plan(service: &Service, route: &bundle::Route, callee: &Service) -> Plan {
     Plan {
+        declared_by: service.name.clone(),
         route: route.name.clone(),
         owner: service.owner.clone(),
         service: callee.name.clone(),
--- a/crates/spread/src/source.rs
+++ b/crates/spread/src/source.rs
@@ -116,12 +116,12 @@
 async fn take_step(
     store: &Store,
     shared: &Shared,
-    held: &Bundle,
+    current: &Bundle,
     head: &Head,
 ) -> Result<Bundle, Failure> {
     let step = Step::try_from(head)?;
     let services = read_pieces(store, shared, step.changed.clone()).await?;
-    Ok(held.apply(&step.delta(services))?)
+    Ok(current.apply(&step.delta(services))?)
 }
 
 /// Reads the manifest of `version` and the pieces that the held version lacks.
--- a/crates/store/src/keys.rs
+++ b/crates/store/src/keys.rs
@@ -51,8 +51,9 @@
     key.strip_prefix(READERS)?.parse().ok()
 }
 
-/// Record of a call with an idempotency key.
+/// Record of a call with an idempotency key. Names of routes are unique within the file of one service,
+/// so the service is part of the key.
 #[must_use]
-pub fn once(owner: &id::Owner, route: &id::Route, key: &str) -> String {
-    format!("/dandelionseam/once/{owner}/{route}/{key}")
+pub fn once(owner: &id::Owner, service: &id::Service, route: &id::Route, key: &str) -> String {
+    format!("/dandelionseam/once/{owner}/{service}/{route}/{key}")
 }
--- a/crates/store/tests/layout.rs
+++ b/crates/store/tests/layout.rs
@@ -31,10 +31,11 @@
     assert_eq!(keys::reader_region(&keys::reader(&region)), Some(region));
     let once = keys::once(
         &"caroni".parse().unwrap(),
+        &"renewals".parse().unwrap(),
         &"renew".parse().unwrap(),
         "k/1 ü",
     );
-    assert_eq!(once, "/dandelionseam/once/caroni/renew/k/1 ü");
+    assert_eq!(once, "/dandelionseam/once/caroni/renewals/renew/k/1 ü");
 }
 
 /// Guards against a value that is read as another message after its format changed or it was cut.
