--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod placement;
 pub mod reader;
 mod region;
+mod report;
 mod shared;
 mod signal;
 mod source;
--- a/crates/spread/src/shared.rs
+++ b/crates/spread/src/shared.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use bundle::Bundle;
 use member::{Merge, Record, State, Table};
-use schema::control::{DomainSummary, Heartbeat, Records};
+use schema::control::{DomainSummary, Records};
 use store::Store;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
@@ -18,7 +18,6 @@
 use crate::history::History;
 use crate::news::{News, Origin};
 use crate::signal::wait_for;
-use crate::summary;
 use crate::traffic::Counters;
 use crate::witness::Witness;
 use crate::{Config, Source};
@@ -72,7 +71,7 @@
     witness: Mutex<Witness>,
     children: Mutex<Admission<Child>>,
     regions: Mutex<BTreeMap<id::Region, Region>>,
-    convergence_ms: AtomicU64,
+    pub(crate) convergence_ms: AtomicU64,
     links: AtomicU64,
     /// Highest sequence used in a greeting.
     greeted: AtomicU32,
@@ -241,14 +240,6 @@
         self.is_root() || matches!(*self.attachment.borrow(), Attachment::Attached(_))
     }
 
-    /// Highest version that this node knows to have been held anywhere.
-    pub(crate) fn highest_seen(&self) -> Version {
-        let summaries = self.summaries();
-        let reported = summaries.iter().map(|summary| summary.highest).max();
-        let remembered = self.witness().highest();
-        Version::new(reported.unwrap_or_default()).max(remembered)
-    }
-
     /// Own record as the table holds it.
     pub(crate) fn me(&self) -> Option<Record> {
         self.table().get(&self.place.id).cloned()
@@ -457,58 +448,6 @@
         table.drop_gone(Instant::now())
     }
 
-    /// Summaries of the subtree below this node, its own version included.
-    pub(crate) fn subtree(&self) -> Vec<DomainSummary> {
-        let version = self.version().get();
-        let own = [DomainSummary {
-            region: self.place.region.to_string(),
-            domain: self.place.domain.to_string(),
-            nodes: 1,
-            lowest: version,
-            highest: version,
-            current: 1,
-            lagging: Vec::new(),
-            convergence_ms: self.convergence_ms.load(Ordering::Relaxed),
-        }];
-        let children = self.children();
-        let below = children
-            .iter()
-            .map(|(id, child)| (id, child.summaries.as_slice()));
-        let own = std::iter::once((&self.place.id, own.as_slice()));
-        summary::sum(own.chain(below))
-    }
-
-    /// Summaries of the whole mesh at a root, of the subtree elsewhere.
-    pub(crate) fn summaries(&self) -> Vec<DomainSummary> {
-        let mut all = self.subtree();
-        let regions = self.regions();
-        all.extend(regions.values().flat_map(|region| region.summaries.clone()));
-        all
-    }
-
-    /// Heartbeat with the summaries, or without them when they are still `last`.
-    pub(crate) fn heartbeat(&self, last: &mut Vec<DomainSummary>) -> Heartbeat {
-        let summaries = self.subtree();
-        let changed = summaries != *last;
-        if changed {
-            last.clone_from(&summaries);
-        }
-        Heartbeat {
-            version: self.version().get(),
-            table: self.table().digest(),
-            summaries: if changed { summaries } else { Vec::new() },
-        }
-    }
-
-    /// Heartbeat without summaries, for links that do not carry them.
-    pub(crate) fn short_heartbeat(&self) -> Heartbeat {
-        Heartbeat {
-            version: self.version().get(),
-            table: self.table().digest(),
-            summaries: Vec::new(),
-        }
-    }
-
     /// Whether versions travel along the tree.
     pub(crate) fn carries_versions(&self) -> bool {
         self.config.source == Source::Tree
