--- a/crates/bench/src/mesh.rs
+++ b/crates/bench/src/mesh.rs
@@ -4,12 +4,10 @@
 use std::time::Duration;
 
 use futures::{StreamExt, TryStreamExt, stream};
-use member::State;
 use tempfile::TempDir;
 use tokio::process::Command;
 use tokio::time::sleep;
 use types::Deadline;
-use types::report::Member;
 
 use crate::{Address, Error, Plan, Process, Scrape, Usage, files};
 
@@ -304,13 +302,15 @@
     ///
     /// Returns [`Error::Http`] when the node does not answer.
     pub async fn live_members(&self, number: usize) -> Result<usize, Error> {
-        let url = format!("{}/members", self.admin(number));
-        let members: Vec<Member> = self.client.get(url).send().await?.json().await?;
-        let gone = [State::Down.to_string(), State::Left.to_string()];
-        Ok(members
-            .iter()
-            .filter(|member| !gone.contains(&member.state))
-            .count())
+        let scrape = Scrape::read(&self.client, &self.admin(number)).await?;
+        let members = scrape.sum("dandelionseam_members", |_| true);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a count of nodes"
+        )]
+        let members = members as usize;
+        Ok(members)
     }
 
     /// Calls that the store has counted, by kind.
--- a/crates/member/tests/merge.rs
+++ b/crates/member/tests/merge.rs
@@ -262,7 +262,6 @@
 prop_state_machine! {
     #![proptest_config(ProptestConfig {
         cases: 256,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(0x6d65_6d62),
         failure_persistence: None,
         ..ProptestConfig::default()
     })]
--- a/crates/member/tests/tree.rs
+++ b/crates/member/tests/tree.rs
@@ -44,7 +44,6 @@
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 64,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(0x7472_6565),
         failure_persistence: None,
         ..ProptestConfig::default()
     })]
@@ -126,7 +125,6 @@
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 24,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(0x726f_6f6d),
         failure_persistence: None,
         ..ProptestConfig::default()
     })]
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -37,6 +37,7 @@
     processor: Gauge,
     version: IntGauge,
     ready: IntGauge,
+    members: IntGauge,
     convergence: Histogram,
     calls: IntCounterVec,
     latency: Histogram,
@@ -58,6 +59,10 @@
             processor: Gauge::new("processor_seconds", "Processor time of the process.")?,
             version: IntGauge::new("version", "Configuration version held.")?,
             ready: IntGauge::new("ready", "Whether the node serves calls.")?,
+            members: IntGauge::new(
+                "members",
+                "Nodes of the mesh that are not down and have not left.",
+            )?,
             convergence: histogram(
                 "convergence_seconds",
                 "Time from publication to swap of each applied version.",
@@ -94,6 +99,7 @@
         self.registry.register(Box::new(self.processor.clone()))?;
         self.registry.register(Box::new(self.version.clone()))?;
         self.registry.register(Box::new(self.ready.clone()))?;
+        self.registry.register(Box::new(self.members.clone()))?;
         self.registry.register(Box::new(self.convergence.clone()))?;
         self.registry.register(Box::new(self.calls.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
@@ -131,6 +137,11 @@
         self.ready.set(i64::from(ready));
     }
 
+    /// Sets the number of nodes that are not down and have not left.
+    pub fn set_members(&self, count: usize) {
+        self.members.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the control bytes to the totals of the distribution.
     pub fn set_control<'a, I>(&self, totals: I)
     where
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -108,6 +108,9 @@
     /// Returns an error when a figure cannot be written.
     pub fn metrics(&self) -> Result<String, prometheus::Error> {
         self.figures.set_ready(self.is_ready());
+        let is_member = |record: &&Record| !record.state.is_gone();
+        let members = self.spread.table().iter().filter(is_member).count();
+        self.figures.set_members(members);
         let traffic = self.spread.traffic();
         self.figures.set_control(traffic.iter().map(|row| Control {
             kind: row.kind,
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+use proptest::test_runner::Config;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use route::{Admission, Decision, Refusal, Ticket};
 use tokio::time::Instant;
@@ -207,7 +207,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(Config { cases: 200, rng_seed: RngSeed::Fixed(3), failure_persistence: None, ..Config::default() })]
+    #![proptest_config(Config { cases: 200, failure_persistence: None, ..Config::default() })]
 
     /// Guards against a slot that is given twice or lost, a queue out of bounds or order, and a call
     /// that is admitted late or during a drain.
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -8,7 +8,7 @@
 
 use bundle::{Bundle, Service};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
+use proptest::test_runner::Config;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use route::{
@@ -20,10 +20,8 @@
 use types::{Timestamp, Version, id, size};
 
 fn config() -> Config {
-    let rng_seed = RngSeed::Fixed(5);
     Config {
         cases: 200,
-        rng_seed,
         failure_persistence: None,
         ..Config::default()
     }
--- a/crates/spread/tests/transfer.rs
+++ b/crates/spread/tests/transfer.rs
@@ -160,7 +160,6 @@
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(0x7472_616e),
         failure_persistence: None,
         ..ProptestConfig::default()
     })]
--- a/crates/store/tests/machine.rs
+++ b/crates/store/tests/machine.rs
@@ -9,7 +9,7 @@
 
 use common::{set_faults, soon, start};
 use oracle::{Change, Compare, Held, Oracle, Outcome, Step};
-use proptest::test_runner::{Config, RngSeed};
+use proptest::test_runner::Config;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use standin::store::Store as Standin;
 use store::{Error, Lease, Operation, Revision, Span, Store, Txn, Value, Watch};
@@ -216,7 +216,6 @@
 prop_state_machine! {
     #![proptest_config(Config {
         cases: 48,
-        rng_seed: RngSeed::Fixed(16),
         failure_persistence: None,
         max_shrink_iters: 300,
         ..Config::default()
--- a/crates/wire/tests/contract.rs
+++ b/crates/wire/tests/contract.rs
@@ -341,7 +341,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 32, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 32, failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Guards against a panic or a false message on random bytes from a peer.
     #[test]
