node: answer /members in pieces

Cause: the JSON for 16,000 members was built in memory as a whole; one request left a node at 33,384 KiB resident (22,252 KiB before it), over the 32 MB that a node may use. Change: each member is written when it is sent. The measuring program lists all members once and reports memory after it.

--- a/crates/bench/src/mesh.rs
+++ b/crates/bench/src/mesh.rs
@@ -8,6 +8,7 @@
 use tokio::process::Command;
 use tokio::time::sleep;
 use types::Deadline;
+use types::report::Member;
 
 use crate::{Address, Error, Plan, Process, Scrape, Usage, files};
 
@@ -313,6 +314,17 @@
         Ok(members)
     }
 
+    /// Number of members that the node `number` lists.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Http`] when the node does not answer with a list.
+    pub async fn listed_members(&self, number: usize) -> Result<usize, Error> {
+        let url = format!("{}/members", self.admin(number));
+        let members: Vec<Member> = self.client.get(url).send().await?.json().await?;
+        Ok(members.len())
+    }
+
     /// Calls that the store has counted, by kind.
     ///
     /// # Errors
--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -36,6 +36,10 @@
     pub full_resident_kib: u64,
     /// Anonymous part of it, in KiB.
     pub full_anonymous_kib: u64,
+    /// Resident memory after the node has listed all members once, in KiB.
+    pub listed_resident_kib: u64,
+    /// Members in that list.
+    pub listed: usize,
     /// Bytes of the record messages.
     pub record_bytes: u64,
     /// Processor time that the records took, in milliseconds.
@@ -69,6 +73,8 @@
     let before = mesh.usage_of(0)?;
     beat(&mut stream, Duration::from_secs(10)).await?;
     let full = mesh.usage_of(0)?;
+    let listed = mesh.listed_members(0).await?;
+    let after_list = mesh.usage_of(0)?;
     connection.close();
     mesh.close();
     Ok(Row {
@@ -79,6 +85,8 @@
         services_resident_kib: with_services.resident_kib,
         full_resident_kib: full.resident_kib,
         full_anonymous_kib: full.anonymous_kib,
+        listed_resident_kib: after_list.resident_kib,
+        listed,
         record_bytes,
         record_core_ms: filled.processor_since(&with_services).as_millis(),
         quiet_core_ms: full.processor_since(&before).as_millis(),
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use call::Announcement;
-use rocket::http::Status;
+use futures::stream::{self, Stream};
+use rocket::http::{ContentType, Status};
+use rocket::response::stream::TextStream;
 use rocket::serde::json::Json;
 use rocket::{Build, Rocket, State, delete, get, post, routes};
 use route::Stage;
@@ -73,8 +75,9 @@
 }
 
 #[get("/members")]
-fn members(node: &State<Arc<Node>>) -> Json<Vec<report::Member>> {
-    Json(reports::members(node))
+fn members(node: &State<Arc<Node>>) -> (ContentType, TextStream<impl Stream<Item = String>>) {
+    let pieces = reports::members(Arc::clone(node));
+    (ContentType::JSON, TextStream::from(stream::iter(pieces)))
 }
 
 #[get("/account/<owner>")]
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -1,5 +1,8 @@
 //! Reports of the admin port, filled from the state of the node.
 
+use std::iter;
+use std::sync::Arc;
+
 use member::{Record, Table};
 use schema::control::DomainSummary;
 use types::report;
@@ -24,12 +27,33 @@
     }
 }
 
-/// Report for `GET /members`, in order of id.
-#[must_use]
-pub fn members(node: &Node) -> Vec<report::Member> {
-    let mut members: Vec<_> = node.spread.table().iter().map(member).collect();
-    members.sort_by(|left, right| left.id.cmp(&right.id));
-    members
+/// Report for `GET /members`: a JSON array in order of id, in pieces.
+///
+/// The whole array for 16,000 members takes more than 10 MB while it is built, a third of the memory
+/// that a node may use, so each piece is made when it is sent. A member that is dropped meanwhile is
+/// left out.
+pub fn members(node: Arc<Node>) -> impl Iterator<Item = String> + Send {
+    let mut ids: Vec<_> = node
+        .spread
+        .table()
+        .iter()
+        .map(|record| record.id.clone())
+        .collect();
+    ids.sort_unstable();
+    let mut pieces = 0;
+    let members = ids.into_iter().filter_map(move |id| {
+        let member = node.spread.table().get(&id).map(member)?;
+        let text = serde_json::to_string(&member).ok()?;
+        pieces += 1;
+        Some(if pieces == 1 {
+            text
+        } else {
+            format!(",{text}")
+        })
+    });
+    iter::once("[".to_owned())
+        .chain(members)
+        .chain(iter::once("]".to_owned()))
 }
 
 /// Report for `GET /account/<owner>`.
