bench: keep the start limit and the settling time in one place

Cause: two measurements each had their own copy of both constants. Change: they stand in the mesh module.

--- a/crates/bench/src/restart.rs
+++ b/crates/bench/src/restart.rs
@@ -6,15 +6,9 @@
 use tokio::time::{Instant, sleep};
 use types::Deadline;
 
+use crate::mesh::{SETTLE, START_LIMIT};
 use crate::{Error, Mesh, Plan, Usage};
 
-/// Longest wait for the nodes to start.
-const START_LIMIT: Duration = Duration::from_mins(2);
-
-/// Time after the start in which links settle before anything is counted. Records of the start are
-/// compared and repaired for some seconds after the last node is ready.
-const SETTLE: Duration = Duration::from_secs(15);
-
 /// Result of one restart.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -7,18 +7,12 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use types::Deadline;
 
+use crate::mesh::{SETTLE, START_LIMIT};
 use crate::{Error, Mesh, Plan, Sample, Scrape, Usage};
 
-/// Longest wait for the nodes to start.
-const START_LIMIT: Duration = Duration::from_mins(2);
-
 /// Longest wait for one version; over twice the 14 s that the design promises.
 const VERSION_LIMIT: Duration = Duration::from_secs(30);
 
-/// Time after the start in which links settle before anything is counted. Records of the start are
-/// compared and repaired for some seconds after the last node is ready.
-const SETTLE: Duration = Duration::from_secs(15);
-
 /// Publications of a measurement.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
