--- a/crates/bundle/src/convert.rs
+++ b/crates/bundle/src/convert.rs
@@ -6,7 +6,7 @@
 use types::rate::Percent;
 use types::{Digest, InvalidDigest, Timestamp, Version, id, size};
 
-use crate::{Delta, Entry, Manifest, Piece, Reach, Route, Service, Step};
+use crate::{Delta, Entry, Manifest, Piece, Reach, Route, Service, Share, Step};
 
 /// Reason why a message of the schema is not a configuration.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
@@ -84,6 +84,11 @@
             service: route.service.to_string(),
             deadline_ms: route.deadline_ms,
             repeatable: route.repeatable,
+            host: route.host.clone(),
+            split: route.split.iter().map(Into::into).collect(),
+            attempts: route.attempts,
+            objective_ms: route.objective_ms,
+            priority: route.priority,
         }
     }
 }
@@ -99,6 +104,35 @@
             service: config.service.parse()?,
             deadline_ms: config.deadline_ms,
             repeatable: config.repeatable,
+            host: config.host,
+            split: config
+                .split
+                .into_iter()
+                .map(TryInto::try_into)
+                .collect::<Result<_, _>>()?,
+            attempts: config.attempts,
+            objective_ms: config.objective_ms,
+            priority: config.priority,
+        })
+    }
+}
+
+impl From<&Share> for message::Share {
+    fn from(share: &Share) -> Self {
+        Self {
+            service: share.service.to_string(),
+            weight: share.weight,
+        }
+    }
+}
+
+impl TryFrom<message::Share> for Share {
+    type Error = Invalid;
+
+    fn try_from(share: message::Share) -> Result<Self, Invalid> {
+        Ok(Self {
+            service: share.service.parse()?,
+            weight: share.weight,
         })
     }
 }
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -46,7 +46,7 @@
 pub use manifest::{Entry, Manifest, Piece};
 pub use merge::merge;
 pub use reach::{InvalidReach, Reach};
-pub use route::Route;
+pub use route::{Route, Share};
 pub use service::{Service, piece_digest};
 pub use source::Source;
 pub use step::Step;
--- a/crates/bundle/src/service.rs
+++ b/crates/bundle/src/service.rs
@@ -44,13 +44,21 @@
 }
 
 fn route_size_bound(route: &Route) -> usize {
-    let texts = route.name.as_str().len() + route.path.len() + route.service.as_str().len();
+    let texts = route.name.as_str().len()
+        + route.host.len()
+        + route.path.len()
+        + route.service.as_str().len();
+    let split: usize = route
+        .split
+        .iter()
+        .map(|share| share.service.as_str().len() + 2 * NUMBER_SIZE)
+        .sum();
     let methods: usize = route
         .methods
         .iter()
         .map(|method| method.len() + NUMBER_SIZE)
         .sum();
-    texts + methods + 6 * NUMBER_SIZE
+    texts + methods + split + 11 * NUMBER_SIZE
 }
 
 /// Digest of a service's configuration. It covers every field, so that two services with the same
@@ -99,19 +107,36 @@
 fn route_digest(route: &Route) -> Digest {
     let Route {
         name,
+        host,
         path,
         methods,
         service,
+        split,
         deadline_ms,
         repeatable,
+        attempts,
+        objective_ms,
+        priority,
     } = route;
-    let deadline = deadline_ms.to_le_bytes();
+    let mut numbers = deadline_ms.to_le_bytes().to_vec();
+    numbers.push(u8::from(*repeatable));
+    numbers.extend(objective_ms.to_le_bytes());
+    // The number of shares keeps their names apart from the methods.
+    let shares = u32::try_from(split.len()).unwrap_or(u32::MAX);
+    for number in [*attempts, *priority, shares] {
+        numbers.extend(number.to_le_bytes());
+    }
+    for share in split {
+        numbers.extend(share.weight.to_le_bytes());
+    }
     let own = [
         name.as_str().as_bytes(),
+        host.as_bytes(),
         path.as_bytes(),
         service.as_str().as_bytes(),
-        &deadline,
-        &[u8::from(*repeatable)],
+        &numbers,
     ];
-    Digest::of_parts(own.into_iter().chain(methods.iter().map(String::as_bytes)))
+    let services = split.iter().map(|share| share.service.as_str().as_bytes());
+    let methods = methods.iter().map(String::as_bytes);
+    Digest::of_parts(own.into_iter().chain(services).chain(methods))
 }
--- a/crates/bundle/src/source.rs
+++ b/crates/bundle/src/source.rs
@@ -3,7 +3,7 @@
 use types::rate::Percent;
 use types::{Finding, Findings, id, size};
 
-use crate::{Route, Service};
+use crate::{Route, Service, Share};
 
 /// One operator file that could be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -95,6 +95,7 @@
             &route.value.service
         };
         let service = self.parse(&format!("{section}.service"), service);
+        let split = self.split(&format!("{section}.split"), &route.value.split);
         Some(Route {
             name: name?,
             // An empty path has been reported as a missing key.
@@ -103,9 +104,30 @@
             service: service?,
             deadline_ms: route.value.deadline_ms,
             repeatable: route.value.repeatable,
+            host: route.value.host.to_ascii_lowercase(),
+            split,
+            attempts: route.value.attempts,
+            objective_ms: route.value.objective_ms,
+            priority: route.value.priority,
         })
     }
 
+    /// Reads shares, each written `SERVICE:WEIGHT`.
+    fn split(&mut self, key: &str, texts: &[String]) -> Vec<Share> {
+        let mut shares = Vec::new();
+        for text in texts {
+            let (name, weight) = text.split_once(':').unwrap_or((text, ""));
+            let Ok(weight) = weight.parse() else {
+                self.report(key, format!("`{text}` is not written SERVICE:WEIGHT"));
+                continue;
+            };
+            if let Some(service) = self.parse(key, name) {
+                shares.push(Share { service, weight });
+            }
+        }
+        shares
+    }
+
     /// Reads a name. An empty text has been reported as a missing key.
     fn parse<N>(&mut self, key: &str, text: &str) -> Option<N>
     where
--- a/crates/bundle/src/validate.rs
+++ b/crates/bundle/src/validate.rs
@@ -92,6 +92,10 @@
         report.add(route_key(route, "path"), message, None);
     }
     paths::check_methods(route, report);
+    if let Some(share) = route.split.iter().find(|share| share.weight == 0) {
+        let message = format!("weight of service `{}` is zero", share.service);
+        report.add(route_key(route, "split"), message, None);
+    }
 }
 
 /// Checks that services have one name and one owner each, and that routes name services that exist.
@@ -120,30 +124,36 @@
     for (index, service) in services.iter().enumerate() {
         report.index = index;
         report.file = &service.file;
-        for route in service
-            .routes
-            .iter()
-            .filter(|route| !by_name.contains_key(&route.service))
-        {
-            let message = format!("service `{}` does not exist", route.service);
-            let names = by_name.keys().map(|name| name.as_str());
-            report.add(
-                route_key(route, "service"),
-                message,
-                nearest(route.service.as_str(), names),
-            );
+        for route in &service.routes {
+            let key = if route.split.is_empty() {
+                "service"
+            } else {
+                "split"
+            };
+            for (missing, _) in route
+                .shares()
+                .filter(|(name, _)| !by_name.contains_key(name))
+            {
+                let message = format!("service `{missing}` does not exist");
+                let names = by_name.keys().map(|name| name.as_str());
+                report.add(
+                    route_key(route, key),
+                    message,
+                    nearest(missing.as_str(), names),
+                );
+            }
         }
     }
 }
 
 /// Checks that no call matches two routes equally well.
 fn check_overlaps<'a>(services: &[&'a Service], report: &mut Report<'a>) {
-    let mut by_path: HashMap<&str, Vec<(&Service, &Route)>> = HashMap::new();
+    let mut by_path: HashMap<(&str, &str), Vec<(&Service, &Route)>> = HashMap::new();
     for (index, service) in services.iter().enumerate() {
         report.index = index;
         report.file = &service.file;
         for route in &service.routes {
-            let same_path = by_path.entry(&route.path).or_default();
+            let same_path = by_path.entry((&route.host, &route.path)).or_default();
             if let Some((owner, other)) = same_path.iter().find(|(_, other)| other.overlaps(route))
             {
                 let message = format!(
--- a/crates/bundle/src/validate/limits.rs
+++ b/crates/bundle/src/validate/limits.rs
@@ -56,12 +56,16 @@
         }
     }
     for route in &service.routes {
-        if let Some(message) = out_of_range(
-            operator::Route::SECTION.keys,
-            "deadline_ms",
-            route.deadline_ms,
-        ) {
-            report.add(route_key(route, "deadline_ms"), message, None);
+        let numbers = [
+            ("deadline_ms", route.deadline_ms),
+            ("attempts", route.attempts.into()),
+            ("objective_ms", route.objective_ms),
+            ("priority", route.priority.into()),
+        ];
+        for (key, value) in numbers {
+            if let Some(message) = out_of_range(operator::Route::SECTION.keys, key, value) {
+                report.add(route_key(route, key), message, None);
+            }
         }
     }
 }
--- a/crates/bundle/src/validate/paths.rs
+++ b/crates/bundle/src/validate/paths.rs
@@ -28,7 +28,9 @@
             "path `{path}` holds the character {c:?}, which a path cannot have"
         ));
     }
-    if rest.is_empty() {
+    // A slash at the end limits the route to the paths below it.
+    let rest = rest.strip_suffix('/').unwrap_or(rest);
+    if rest.is_empty() && path.len() == 1 {
         return Ok(());
     }
     for segment in rest.split('/') {
@@ -39,9 +41,7 @@
 
 fn check_segment(path: &str, segment: &str) -> Result<(), String> {
     match segment {
-        "" => Err(format!(
-            "path `{path}` has an empty segment or ends with `/`"
-        )),
+        "" => Err(format!("path `{path}` has an empty segment")),
         "." | ".." => Err(format!("path `{path}` has the segment `{segment}`")),
         _ => Ok(()),
     }
--- a/crates/call/src/announcement.rs
+++ b/crates/call/src/announcement.rs
@@ -18,6 +18,9 @@
     pub state: Stage,
     /// Path of its health endpoint; empty for `/health`.
     pub health: String,
+    /// Start of the upstream, so that a new one at the same address is told apart; empty when the
+    /// upstream does not say.
+    pub instance: String,
 }
 
 impl Announcement {
@@ -36,6 +39,7 @@
             connections,
             state: Stage::Ready,
             health: String::new(),
+            instance: String::new(),
         }
     }
 
--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use route::{Budget, Choice, NoRoute, Place, Plan, Routes};
+use route::{Budget, Choice, NoRoute, Place, Plan, Query, Routes};
 use tokio::time::{Instant, sleep, timeout_at};
 use types::{Deadline, Outcome, id};
 
@@ -19,6 +19,10 @@
 /// Longest time between two looks for idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Most targets that one call is offered to. A refusal by the node beside a target costs no retry, but
+/// time.
+const OFFER_LIMIT: usize = 4;
+
 /// Caller side of the call path. Clones share one state.
 #[derive(Clone)]
 pub struct Caller(Arc<Shared>);
@@ -102,6 +106,9 @@
     }
 
     /// Sends the call to one target after another, within the attempts, the budget and the deadline.
+    ///
+    /// Only a request that reached an upstream counts as an attempt: a refusal by the node beside it
+    /// costs the upstream nothing.
     async fn try_targets(
         &self,
         plan: &Plan,
@@ -110,9 +117,10 @@
     ) -> Result<(Reply, InFlight), Failure> {
         let candidates = self.mesh.targets(&plan.service);
         let mut tried = Vec::new();
+        let mut arrived = 0;
         let mut failure = None;
         self.earn_retries(plan);
-        while tried.len() < plan.attempts as usize {
+        while tried.len() < OFFER_LIMIT && arrived < plan.attempts {
             let choice = self.targets.lock().choose(
                 &candidates,
                 plan.scope,
@@ -123,7 +131,7 @@
             );
             let Some(choice) = choice else { break };
             if let Some(last) = &failure
-                && !(may_repeat(last, job, payload) && self.try_retry(plan))
+                && !(may_repeat(last, job, payload) && self.allows_retry(plan, arrived))
             {
                 break;
             }
@@ -131,7 +139,10 @@
             log_choice(&choice, job, tried.len());
             match self.attempt(&choice, job, payload).await {
                 Ok(answer) => return Ok(answer),
-                Err(next) => failure = Some(combine(failure, next)),
+                Err(next) => {
+                    arrived += u32::from(next.arrived);
+                    failure = Some(combine(failure, next));
+                }
             }
         }
         Err(failure.unwrap_or_else(|| Failure::mesh("no target within reach")))
@@ -181,16 +192,24 @@
         self.with_budget(plan, |budget| budget.call(plan.budget));
     }
 
-    fn try_retry(&self, plan: &Plan) -> bool {
-        self.with_budget(plan, |budget| budget.try_retry(plan.budget))
+    /// Whether the call may be sent once more; an upstream that it has reached makes this a retry.
+    fn allows_retry(&self, plan: &Plan, arrived: u32) -> bool {
+        arrived == 0 || self.with_budget(plan, |budget| budget.try_retry(plan.budget))
     }
 
     fn with_budget<F, T>(&self, plan: &Plan, change: F) -> T
     where
         F: FnOnce(&mut Budget) -> T,
     {
+        let slack = self.mesh.retry_slack();
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        change(budgets.entry(plan.service.clone()).or_default())
+        let budget = budgets
+            .entry(plan.service.clone())
+            .or_insert_with(|| slack.map_or_else(Budget::new, Budget::with_slack));
+        if let Some(slack) = slack {
+            budget.resize(slack);
+        }
+        change(budget)
     }
 }
 
@@ -200,15 +219,19 @@
         let reason = "path is not absolute or has dot segments";
         return Err(Failure::caller(StatusCode::BAD_REQUEST, reason));
     }
-    routes
-        .find(request.method.as_str(), path)
-        .map_err(|error| match error {
-            NoRoute::Path => Failure::caller(StatusCode::NOT_FOUND, "no route for the path"),
-            NoRoute::Method => Failure::caller(
-                StatusCode::METHOD_NOT_ALLOWED,
-                "no route for the method on this path",
-            ),
-        })
+    let query = Query {
+        host: &request.host,
+        method: request.method.as_str(),
+        path,
+        draw: rand::random(),
+    };
+    routes.find(query).map_err(|error| match error {
+        NoRoute::Path => Failure::caller(StatusCode::NOT_FOUND, "no route for the path"),
+        NoRoute::Method => Failure::caller(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "no route for the method on this path",
+        ),
+    })
 }
 
 /// Sets the deadline and reads the first part of the body.
@@ -246,6 +269,7 @@
         repeatable: plan.repeatable,
         key: request.idempotency_key,
         version: routes.version(),
+        priority: plan.priority,
     };
     Ok((job, payload))
 }
@@ -263,14 +287,11 @@
 }
 
 /// Failure of all attempts so far. An attempt that may have run is never hidden by a later one that
-/// did not.
+/// did not, and a refusal by a target's node says more than a link that failed.
 fn combine(earlier: Option<Failure>, later: Failure) -> Failure {
+    let weight = |failure: &Failure| (failure.outcome != Outcome::NotRun, failure.load.is_some());
     match earlier {
-        Some(earlier)
-            if earlier.outcome == Outcome::Unknown && later.outcome == Outcome::NotRun =>
-        {
-            earlier
-        }
+        Some(earlier) if weight(&earlier) > weight(&later) => earlier,
         _ => later,
     }
 }
--- /dev/null
+++ b/crates/call/src/connection.rs
@@ -0,0 +1,123 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http::{HeaderMap, Request, Response, header};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Empty, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::Upload;
+
+/// Body of a request to an upstream.
+pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Time for which an unused connection is kept when the upstream states none. A request on a
+/// connection that the upstream is closing may be lost.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time before the end of the stated idle time at which a connection is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Connection to an upstream, which carries one request at a time. Dropping it closes the socket.
+pub(crate) struct Connection {
+    sender: SendRequest<Body>,
+    driver: AbortHandle,
+    /// Until when it may be used again.
+    usable: Instant,
+}
+
+/// Reason why no answer came over a connection.
+pub(crate) enum SendError {
+    /// The request was not written.
+    Unsent,
+    /// The request was written, at least in part.
+    Broken(hyper::Error),
+}
+
+impl Connection {
+    /// Connects and starts the task that drives the connection.
+    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
+        let socket = TcpStream::connect(address).await?;
+        socket.set_nodelay(true)?;
+        let (sender, driver) = http1::Builder::new()
+            .handshake(TokioIo::new(socket))
+            .await
+            .map_err(io::Error::other)?;
+        let driver = tokio::spawn(async move {
+            // The exchange that the error concerns reports it.
+            let _ = driver.await;
+        });
+        Ok(Self {
+            sender,
+            driver: driver.abort_handle(),
+            usable: Instant::now() + IDLE_LIMIT,
+        })
+    }
+
+    /// Whether another request may go over the connection.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        self.sender.is_ready() && now < self.usable
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| match error.take_message() {
+                Some(_) => SendError::Unsent,
+                None => SendError::Broken(error.into_error()),
+            })
+    }
+
+    /// Waits until the connection may carry another request; false when it closes instead.
+    pub(crate) async fn recover(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sets the time for which the connection may stay unused, as `headers` of an answer state it.
+    pub(crate) fn note_idle_limit(&mut self, headers: &HeaderMap) {
+        let stated = headers.get("keep-alive").and_then(|value| {
+            let parameters = value.to_str().ok()?.split(',');
+            let mut seconds =
+                parameters.filter_map(|text| text.trim().strip_prefix("timeout=")?.parse().ok());
+            Some(Duration::from_secs(seconds.next()?))
+        });
+        let limit = stated.map_or(IDLE_LIMIT, |stated| {
+            stated.saturating_sub(IDLE_MARGIN).min(IDLE_LIMIT)
+        });
+        let closes = headers
+            .get_all(header::CONNECTION)
+            .iter()
+            .any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        self.usable = Instant::now() + if closes { Duration::ZERO } else { limit };
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        // The upstream stops its work when the socket closes.
+        self.driver.abort();
+    }
+}
+
+/// Body without content.
+pub(crate) fn empty() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Body from a stream.
+pub(crate) fn stream(upload: Upload) -> Body {
+    BodyExt::boxed_unsync(StreamBody::new(upload.map(|part| part.map(Frame::data))))
+}
--- a/crates/call/src/failure.rs
+++ b/crates/call/src/failure.rs
@@ -17,6 +17,8 @@
     pub status: StatusCode,
     /// Load of the target, when it reported one.
     pub load: Option<Load>,
+    /// Whether the request reached the upstream, so that another attempt counts as a retry.
+    pub arrived: bool,
 }
 
 /// End of an answer that broke off after its head. The upstream may have run the call.
@@ -82,9 +84,17 @@
             reason: reason.into(),
             status,
             load: None,
+            arrived: outcome != Outcome::NotRun,
         }
     }
 
+    /// Marks that the upstream received the request and refused it.
+    #[must_use]
+    pub const fn with_arrival(mut self) -> Self {
+        self.arrived = true;
+        self
+    }
+
     /// Adds the load of the target.
     #[must_use]
     pub fn with_load(mut self, load: Load) -> Self {
--- a/crates/call/src/job.rs
+++ b/crates/call/src/job.rs
@@ -22,6 +22,8 @@
     pub(crate) repeatable: bool,
     pub(crate) key: Option<String>,
     pub(crate) version: Version,
+    /// Rank in a full queue; 0 goes first.
+    pub(crate) priority: u32,
 }
 
 impl Job {
@@ -41,6 +43,7 @@
             repeatable: self.repeatable,
             idempotency_key: self.key.clone().unwrap_or_default(),
             version: self.version.get(),
+            priority: self.priority,
         }
     }
 
@@ -60,6 +63,7 @@
             repeatable: head.repeatable,
             key: (!head.idempotency_key.is_empty()).then_some(head.idempotency_key),
             version: Version::new(head.version),
+            priority: head.priority,
         })
     }
 }
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`Target`] stands beside an upstream: it admits calls, sends them on by HTTP and streams the
 //!   answer back. The upstream makes itself known by an [`Announcement`].
 //! - [`Accounts`] keep counters and the last failures of each owner.
+//! - [`Dialect`] holds the headers that pass between a node and its upstream.
 //! - [`Mesh`] is the view of configuration and membership that both sides need.
 //!
 //! Every answer says what is known about the run. `not-run` is said only when the node beside the
@@ -47,6 +48,8 @@
 mod answer;
 mod body;
 mod caller;
+mod connection;
+mod dialect;
 mod exchange;
 mod failure;
 mod gate;
@@ -71,7 +74,8 @@
 pub use answer::Answer;
 pub use body::Body;
 pub use caller::Caller;
+pub use dialect::{Dialect, Handover, Verdict};
 pub use failure::{Cut, Failure};
 pub use mesh::Mesh;
 pub use request::{Request, Upload};
-pub use target::Target;
+pub use target::{Options, Target};
--- a/crates/call/src/local.rs
+++ b/crates/call/src/local.rs
@@ -25,12 +25,17 @@
 }
 
 impl Local {
-    pub(crate) fn new(announcement: Announcement, gate: Gate, upstream: Upstream) -> Self {
+    pub(crate) fn new(
+        announcement: Announcement,
+        gate: Gate,
+        upstream: Upstream,
+        life: Duration,
+    ) -> Self {
         Self {
             gate: Arc::new(gate),
             upstream,
             state: Mutex::new(State {
-                presence: Presence::new(announcement.state, Instant::now()),
+                presence: Presence::new(announcement.state, Instant::now()).with_life(life),
                 announcement,
             }),
         }
@@ -39,7 +44,7 @@
     /// Whether an announcement comes from this upstream, so that its slots and the trust in it are kept.
     pub(crate) fn is_same(&self, new: &Announcement) -> bool {
         let old = &self.lock().announcement;
-        old.service == new.service && old.address == new.address
+        old.service == new.service && old.address == new.address && old.instance == new.instance
     }
 
     /// Whether this upstream runs `service`.
--- a/crates/call/src/mesh.rs
+++ b/crates/call/src/mesh.rs
@@ -18,6 +18,7 @@
     targets: Arc<Lookup>,
     ready: Arc<dyn Fn() -> bool + Send + Sync>,
     routes: Arc<ArcSwapOption<Routes>>,
+    retry_slack: Option<Arc<dyn Fn() -> f64 + Send + Sync>>,
 }
 
 impl Mesh {
@@ -36,9 +37,27 @@
             targets: Arc::new(targets),
             ready: Arc::new(ready),
             routes: Arc::default(),
+            retry_slack: None,
         }
     }
 
+    /// Sets the retries for each service that this node may send beyond the share of its calls. All
+    /// nodes together must stay within one allowance, so each one takes its part of it.
+    #[must_use]
+    pub fn with_retry_slack<S>(mut self, slack: S) -> Self
+    where
+        S: Fn() -> f64 + Send + Sync + 'static,
+    {
+        self.retry_slack = Some(Arc::new(slack));
+        self
+    }
+
+    /// Retries that this node may save up for each service; `None` for the usual number.
+    #[must_use]
+    pub fn retry_slack(&self) -> Option<f64> {
+        self.retry_slack.as_ref().map(|slack| slack())
+    }
+
     /// Routes of the configuration in force. A call takes them once and keeps them to its end.
     #[must_use]
     pub fn routes(&self) -> Arc<Routes> {
--- a/crates/call/src/message.rs
+++ b/crates/call/src/message.rs
@@ -76,6 +76,7 @@
         reason: failure.reason.clone(),
         load: failure.load.map(load_message),
         status: u32::from(failure.status.as_u16()),
+        arrived: failure.arrived,
     }))
 }
 
@@ -87,6 +88,7 @@
         reason: cut.reason.clone(),
         load: None,
         status: 0,
+        arrived: true,
     }))
 }
 
@@ -109,6 +111,7 @@
             .and_then(|status| StatusCode::from_u16(status).ok())
             .unwrap_or(StatusCode::BAD_GATEWAY),
         load: message.load.as_ref().map(load),
+        arrived: message.arrived,
     }
 }
 
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -14,6 +14,8 @@
     pub id: id::Request,
     /// Owner on whose account the call runs; `None` when the caller named none.
     pub owner: Option<id::Owner>,
+    /// Host that the caller named, without a port; empty when it named none.
+    pub host: String,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -38,6 +40,7 @@
         Self {
             id,
             owner: None,
+            host: String::new(),
             method,
             target: target.into(),
             headers: HeaderMap::new(),
--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -2,20 +2,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::stream::{self, BoxStream, StreamExt};
+use futures::stream::{self, StreamExt};
+use http::Response;
 use http::{HeaderMap, StatusCode};
-use reqwest::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 use types::{Fault, Outcome};
 
 use crate::active::Entry;
+use crate::connection::Connection;
 use crate::gate::Permit;
 use crate::job::Job;
 use crate::local::Local;
 use crate::once::{ANSWER_LIMIT, Claim, Once, Permission};
 use crate::payload::Payload;
 use crate::reply::Reply;
-use crate::upstream::{self, SendError};
+use crate::upstream::{self, Exchange, SendError};
 use crate::{Cut, Failure, message};
 
 /// One run of an admitted call. It holds the slot until the answer has ended.
@@ -51,8 +54,8 @@
     pub(crate) async fn start(mut self, payload: Payload) -> Result<Reply, Failure> {
         let key = self.job.key.clone().filter(|_| !self.job.repeatable);
         let Some(key) = key else {
-            let response = self.send(&payload).await?;
-            return Ok(self.reply(response, None));
+            let exchange = self.send(&payload).await?;
+            return Ok(self.reply(exchange, None));
         };
         let once = self
             .once
@@ -74,9 +77,9 @@
             }
         };
         match self.send(&payload).await {
-            Ok(response) => {
-                let record = Recording::new(once, claim, &response);
-                Ok(self.reply(response, Some(record)))
+            Ok(exchange) => {
+                let record = Recording::new(once, claim, &exchange.response);
+                Ok(self.reply(exchange, Some(record)))
             }
             Err(failure) => {
                 if failure.outcome == Outcome::NotRun
@@ -90,32 +93,21 @@
     }
 
     /// Sends the request once and takes the head of the answer.
-    async fn send(&mut self, payload: &Payload) -> Result<Response, Failure> {
+    async fn send(&mut self, payload: &Payload) -> Result<Exchange, Failure> {
         if self.job.deadline.has_passed(Instant::now()) {
             let failure = Failure::service(&self.job.service, "deadline passed before hand-over");
             return Err(failure.with_load(self.local.gate.load()));
         }
         self.permit.hand_over();
         let handed_over = Instant::now();
-        let response = match self.local.upstream.send(&self.job, payload).await {
-            Ok(response) => response,
+        let exchange = match self.local.upstream.send(&self.job, payload).await {
+            Ok(exchange) => exchange,
             Err(error) => return Err(self.failure(error)),
         };
         self.upstream = handed_over.elapsed();
-        if upstream::is_shed(&response) {
-            self.permit.take_back();
-            self.local
-                .gate
-                .update(|admission| admission.shed(Instant::now()));
-            let failure = Failure::service(&self.job.service, "shed by the upstream");
-            return Err(failure.with_load(self.local.gate.load()));
-        }
-        if !upstream::has_end(&response, &self.job.method) {
-            return Err(self.unknown(StatusCode::BAD_GATEWAY, "answer without a length"));
-        }
         self.local
             .observe(|presence| presence.answered(Instant::now()));
-        Ok(response)
+        Ok(exchange)
     }
 
     fn failure(&mut self, error: SendError) -> Failure {
@@ -130,6 +122,16 @@
                 let reason = format!("connection to the upstream refused: {reason}");
                 Failure::service(&self.job.service, reason)
             }
+            SendError::Declined { reason, overloaded } => {
+                self.permit.take_back();
+                if overloaded {
+                    self.local
+                        .gate
+                        .update(|admission| admission.shed(Instant::now()));
+                }
+                let failure = Failure::service(&self.job.service, reason).with_arrival();
+                failure.with_load(self.local.gate.load())
+            }
             SendError::Late => {
                 self.local.upstream.drop_idle();
                 self.unknown(
@@ -150,13 +152,18 @@
     }
 
     /// Turns the answer into a reply whose body holds the slot.
-    fn reply(self, response: Response, recording: Option<Recording>) -> Reply {
+    fn reply(self, exchange: Exchange, recording: Option<Recording>) -> Reply {
+        let Exchange {
+            response,
+            connection,
+        } = exchange;
         let status = response.status();
         let headers = upstream::without_hop_headers(response.headers().clone());
         let load = Some(self.local.gate.load());
         let upstream = self.upstream;
         let body = Running {
-            parts: response.bytes_stream().boxed(),
+            parts: response.into_body(),
+            connection,
             run: self,
             recording,
         };
@@ -173,7 +180,8 @@
 
 /// Body of an answer that comes from the upstream.
 struct Running {
-    parts: BoxStream<'static, reqwest::Result<Bytes>>,
+    parts: Incoming,
+    connection: Connection,
     run: Run,
     recording: Option<Recording>,
 }
@@ -182,26 +190,47 @@
 async fn next_part(running: Option<Running>) -> Option<(Result<Bytes, Cut>, Option<Running>)> {
     let mut running = running?;
     let deadline = running.run.job.deadline.instant();
-    let reason = match timeout_at(deadline, running.parts.next()).await {
-        Ok(Some(Ok(part))) => {
-            if let Some(recording) = &mut running.recording {
-                recording.add(&part);
+    let reason = loop {
+        match timeout_at(deadline, running.parts.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                // Trailers concern the connection to the upstream only.
+                let Ok(part) = frame.into_data() else {
+                    continue;
+                };
+                if let Some(recording) = &mut running.recording {
+                    recording.add(&part);
+                }
+                return Some((Ok(part), Some(running)));
             }
-            return Some((Ok(part), Some(running)));
-        }
-        Ok(None) => {
-            if let Some(recording) = running.recording.take() {
-                recording.finish(&running.run.job).await;
+            Ok(None) => {
+                finish(running).await;
+                return None;
             }
-            return None;
+            Ok(Some(Err(error))) => break format!("upstream broke off: {error}"),
+            Err(_) => break "deadline passed".to_owned(),
         }
-        Ok(Some(Err(error))) => format!("upstream broke off: {}", upstream::cause(&error)),
-        Err(_) => "deadline passed".to_owned(),
     };
     let fault = Fault::Service(running.run.job.service.clone());
     Some((Err(Cut { fault, reason }), None))
 }
 
+/// Records the answer of a keyed call and keeps the connection. The slot is free before the connection
+/// is, which may take the upstream a moment more.
+async fn finish(running: Running) {
+    let Running {
+        connection,
+        run,
+        recording,
+        ..
+    } = running;
+    if let Some(recording) = recording {
+        recording.finish(&run.job).await;
+    }
+    let local = Arc::clone(&run.local);
+    drop(run);
+    tokio::spawn(async move { local.upstream.release(connection).await });
+}
+
 /// Answer of a keyed call on its way into the store.
 struct Recording {
     once: Arc<Once>,
@@ -214,7 +243,7 @@
 }
 
 impl Recording {
-    fn new(once: Arc<Once>, claim: Claim, response: &Response) -> Self {
+    fn new(once: Arc<Once>, claim: Claim, response: &Response<Incoming>) -> Self {
         Self {
             once,
             claim,
@@ -265,6 +294,7 @@
             reason: "the call ran before; its answer was too large to record".to_owned(),
             status: StatusCode::CONFLICT,
             load: None,
+            arrived: true,
         });
     };
     let answer = Bytes::from(record.answer);
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -1,9 +1,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Weak};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use http::StatusCode;
-use route::Load;
+use route::{ANNOUNCEMENT_LIFE, Load};
 use store::Store;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
@@ -18,7 +19,7 @@
 use crate::reply::Reply;
 use crate::run::Run;
 use crate::upstream::Upstream;
-use crate::{Announcement, Failure, Mesh};
+use crate::{Announcement, Dialect, Failure, Mesh};
 
 /// Target side of the call path: the node beside an upstream. Clones share one state.
 #[derive(Clone)]
@@ -31,6 +32,27 @@
     active: Arc<Active>,
     draining: AtomicBool,
     announced: watch::Sender<Option<Announcement>>,
+    options: Options,
+}
+
+/// What differs between the interfaces that upstreams use.
+pub struct Options {
+    /// Headers that pass between the node and the upstream.
+    pub dialect: Arc<Dialect>,
+    /// Time after which an announcement that was not renewed lapses.
+    pub announcement_life: Duration,
+    /// Whether the upstream's health is asked for. Without it, the calls themselves show the health.
+    pub probes: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            dialect: Arc::default(),
+            announcement_life: ANNOUNCEMENT_LIFE,
+            probes: true,
+        }
+    }
 }
 
 impl Target {
@@ -38,6 +60,12 @@
     /// refused.
     #[must_use]
     pub fn new(mesh: Mesh, store: Option<Store>) -> Self {
+        Self::with_options(mesh, store, Options::default())
+    }
+
+    /// Creates the target side for upstreams that use another interface.
+    #[must_use]
+    pub fn with_options(mesh: Mesh, store: Option<Store>, options: Options) -> Self {
         let once = store.map(|store| Arc::new(Once::new(store, mesh.clone())));
         Self(Arc::new(Shared {
             mesh,
@@ -46,17 +74,14 @@
             active: Arc::default(),
             draining: AtomicBool::new(false),
             announced: watch::Sender::new(None),
+            options,
         }))
     }
 
-    /// Takes or renews the announcement of the upstream. It lapses after 3 s.
+    /// Takes or renews the announcement of the upstream. It lapses after the time of the options.
     ///
     /// Must be called in a runtime, since a task that probes the upstream is started.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the HTTP client cannot be set up.
-    pub fn announce(&self, announcement: Announcement) -> Result<(), reqwest::Error> {
+    pub fn announce(&self, announcement: Announcement) {
         let draining = self.0.draining.load(Ordering::Acquire);
         let routes = self.0.mesh.routes();
         let queue = routes.queue(&announcement.service, announcement.slots);
@@ -64,13 +89,12 @@
         if let Some(local) = known.filter(|local| local.is_same(&announcement)) {
             local.announce(announcement, queue, draining);
         } else {
-            let local = Arc::new(create(announcement.clone(), queue)?);
+            let local = Arc::new(self.0.local(announcement.clone(), queue));
             local.announce(announcement, queue, draining);
             self.0.local.store(Some(Arc::clone(&local)));
             tokio::spawn(supervise(Arc::downgrade(&self.0), local));
         }
         self.0.publish();
-        Ok(())
     }
 
     /// Takes the announcement back: new calls are refused from now on.
@@ -159,6 +183,21 @@
 }
 
 impl Shared {
+    /// State of an upstream that has just announced itself.
+    fn local(&self, announcement: Announcement, queue: size::Queue) -> Local {
+        let (slots, connections) = (announcement.slots, announcement.connections);
+        let upstream = Upstream::new(
+            announcement.address,
+            announcement.instance.clone(),
+            Arc::clone(&self.options.dialect),
+            slots,
+            connections,
+        );
+        let usable = Upstream::usable_slots(slots, connections);
+        let life = self.options.announcement_life;
+        Local::new(announcement, Gate::new(usable, queue), upstream, life)
+    }
+
     fn publish(&self) {
         let current = self.local.load();
         let announcement = current.as_ref().and_then(|local| local.announcement());
@@ -177,22 +216,20 @@
     }
 }
 
-fn create(announcement: Announcement, queue: size::Queue) -> Result<Local, reqwest::Error> {
-    let (slots, connections) = (announcement.slots, announcement.connections);
-    let upstream = Upstream::new(announcement.address, slots, connections)?;
-    let usable = Upstream::usable_slots(slots, connections);
-    Ok(Local::new(announcement, Gate::new(usable, queue), upstream))
-}
-
 /// Probes an upstream each second until its announcement lapses or is replaced.
 async fn supervise(shared: Weak<Shared>, local: Arc<Local>) {
     loop {
         let next = Deadline::after(PROBE_INTERVAL).min(local.expiry());
         sleep_until(next.instant()).await;
-        local.probe().await;
         let Some(shared) = shared.upgrade().filter(|shared| shared.is_current(&local)) else {
             return;
         };
+        if shared.options.probes {
+            local.probe().await;
+        }
+        if !shared.is_current(&local) {
+            return;
+        }
         if local.expiry().has_passed(Instant::now()) {
             shared.local.store(None);
             local.gate.update(|admission| admission.set_draining(true));
--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -1,17 +1,19 @@
-use std::error::Error as _;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
+use bytes::Bytes;
 use http::header::{self, HeaderName, HeaderValue};
-use http::{HeaderMap, Method, StatusCode};
-use reqwest::{Body, Client, Response, Url, redirect, retry};
+use http::{HeaderMap, Request, Response, Uri};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use route::Probe;
 use tokio::time::{Instant, timeout_at};
 use types::{Deadline, size};
 
+use crate::connection::{self, Body, Connection};
+use crate::dialect::{Dialect, Handover, Verdict};
 use crate::exchange::HOP_MARGIN;
 use crate::job::Job;
 use crate::payload::Payload;
@@ -19,16 +21,14 @@
 /// Longest time to connect to an upstream, which is on the same instance or beside it.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
-/// Time after which an unused connection to the upstream is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Largest body of a refusal that is read to keep its connection, in bytes.
+const REFUSAL_LIMIT: usize = 16 * 1024;
 
-/// Header by which an upstream marks a 503 as refused before any work was done.
-const SHED_HEADER: &str = "shed";
-
-/// Headers that concern one connection only, or that are written anew.
+/// Headers that concern one connection only, or that are written anew. The node has answered an
+/// `expect` itself by reading the body.
 const HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
-    header::HOST,
+    header::EXPECT,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
@@ -41,12 +41,18 @@
 /// HTTP client of one upstream.
 pub(crate) struct Upstream {
     address: SocketAddr,
+    /// Start of the upstream that requests are meant for; empty when it announced none.
+    instance: String,
+    dialect: Arc<Dialect>,
+    idle: Mutex<Vec<Connection>>,
     /// Connections that are kept when unused.
-    idle: AtomicUsize,
-    /// Client for calls that may be repeated; it keeps connections.
-    pooled: ArcSwap<Client>,
-    /// Client for calls that must not be repeated and for probes: each one has a new connection.
-    single: Client,
+    idle_limit: AtomicUsize,
+}
+
+/// Answer whose head has come. Its connection carries nothing else until the body has ended.
+pub(crate) struct Exchange {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) connection: Connection,
 }
 
 /// Reason why no answer of an upstream came.
@@ -56,6 +62,11 @@
     Invalid(String),
     /// No connection was made; nothing was sent.
     Refused(String),
+    /// The upstream refused the request and has not run it.
+    Declined {
+        reason: &'static str,
+        overloaded: bool,
+    },
     /// The deadline passed after hand-over.
     Late,
     /// The upstream broke off after hand-over.
@@ -67,16 +78,18 @@
     /// left for probes.
     pub(crate) fn new(
         address: SocketAddr,
+        instance: String,
+        dialect: Arc<Dialect>,
         slots: size::Slots,
         connections: size::Connections,
-    ) -> Result<Self, reqwest::Error> {
-        let idle = idle(slots, connections);
-        Ok(Self {
+    ) -> Self {
+        Self {
             address,
-            idle: AtomicUsize::new(idle),
-            pooled: ArcSwap::from_pointee(client(idle)?),
-            single: client(0)?,
-        })
+            instance,
+            dialect,
+            idle: Mutex::default(),
+            idle_limit: AtomicUsize::new(idle_limit(slots, connections)),
+        }
     }
 
     /// Slots that the connections allow; each call needs one, and one is left for probes.
@@ -86,117 +99,182 @@
     }
 
     /// Sends a call once and waits for the head of the answer.
-    pub(crate) async fn send(&self, job: &Job, payload: &Payload) -> Result<Response, SendError> {
-        let url = Url::parse(&format!("http://{}{}", self.address, job.target))
-            .map_err(|error| SendError::Invalid(error.to_string()))?;
-        let client = if job.repeatable {
-            self.pooled.load_full()
-        } else {
-            Arc::new(self.single.clone())
-        };
-        let request = client
-            .request(job.method.clone(), url)
-            .headers(request_headers(job, payload, Instant::now()));
-        let request = match body(payload) {
-            Some(body) => request.body(body),
-            None => request,
+    ///
+    /// A call that must not be repeated goes over a new connection: an unused one may be closing, or a
+    /// late answer to an earlier request may wait in it.
+    pub(crate) async fn send(&self, job: &Job, payload: &Payload) -> Result<Exchange, SendError> {
+        let sending = async {
+            let mut kept = job.repeatable.then(|| self.take_idle()).flatten();
+            loop {
+                let request = self.request(job, payload)?;
+                let (mut connection, is_kept) = match kept.take() {
+                    Some(connection) => (connection, true),
+                    None => (self.connect().await?, false),
+                };
+                match connection.send(request).await {
+                    Ok(response) => return self.judge(job, response, connection).await,
+                    // Nothing was written, so a new connection is no second attempt.
+                    Err(connection::SendError::Unsent) if is_kept => {}
+                    Err(connection::SendError::Unsent) => {
+                        let reason = "connection closed before the request was written";
+                        return Err(SendError::Refused(reason.to_owned()));
+                    }
+                    Err(connection::SendError::Broken(error)) => {
+                        return Err(SendError::Broken(error.to_string()));
+                    }
+                }
+            }
         };
-        match timeout_at(job.deadline.instant(), request.send()).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.is_connect() => Err(SendError::Refused(cause(&error))),
-            Ok(Err(error)) if error.is_builder() => Err(SendError::Invalid(cause(&error))),
-            Ok(Err(error)) => Err(SendError::Broken(cause(&error))),
-            Err(_) => Err(SendError::Late),
+        timeout_at(job.deadline.instant(), sending)
+            .await
+            .unwrap_or(Err(SendError::Late))
+    }
+
+    async fn connect(&self) -> Result<Connection, SendError> {
+        let limit = Deadline::after(CONNECT_LIMIT);
+        match timeout_at(limit.instant(), Connection::open(self.address)).await {
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(error)) => Err(SendError::Refused(error.to_string())),
+            Err(_) => Err(SendError::Refused("connect deadline passed".to_owned())),
+        }
+    }
+
+    /// Reads the head of an answer.
+    async fn judge(
+        &self,
+        job: &Job,
+        response: Response<Incoming>,
+        mut connection: Connection,
+    ) -> Result<Exchange, SendError> {
+        let handover = self.handover(job);
+        connection.note_idle_limit(response.headers());
+        match (self.dialect.read)(handover, response.status(), response.headers()) {
+            Verdict::Answer => Ok(Exchange {
+                response,
+                connection,
+            }),
+            Verdict::Refused { reason, overloaded } => {
+                let body = Limited::new(response.into_body(), REFUSAL_LIMIT);
+                if body.collect().await.is_ok() {
+                    self.release(connection).await;
+                }
+                Err(SendError::Declined { reason, overloaded })
+            }
+            Verdict::Foreign => Err(SendError::Broken("answer to another request".to_owned())),
+        }
+    }
+
+    /// Keeps a connection for later calls once its answer has ended.
+    pub(crate) async fn release(&self, mut connection: Connection) {
+        if connection.recover().await {
+            let mut idle = self.lock();
+            if idle.len() < self.idle_limit.load(Ordering::Relaxed) {
+                idle.push(connection);
+            }
         }
     }
 
     /// Follows a change of the declared sizes.
     pub(crate) fn resize(&self, slots: size::Slots, connections: size::Connections) {
-        let idle = idle(slots, connections);
-        if self.idle.swap(idle, Ordering::Relaxed) != idle {
-            self.drop_idle();
-        }
+        let limit = idle_limit(slots, connections);
+        self.idle_limit.store(limit, Ordering::Relaxed);
+        self.lock().truncate(limit);
     }
 
     /// Drops the idle connections, which may have gone silent.
     pub(crate) fn drop_idle(&self) {
-        if let Ok(client) = client(self.idle.load(Ordering::Relaxed)) {
-            self.pooled.store(Arc::new(client));
-        }
+        self.lock().clear();
     }
 
     /// Asks the health endpoint over a new connection.
     pub(crate) async fn probe(&self, path: &str, deadline: Deadline) -> Probe {
-        let url = format!("http://{}{path}", self.address);
-        match timeout_at(deadline.instant(), self.single.get(url).send()).await {
-            Ok(Ok(response)) if response.status().is_success() => Probe::Healthy,
-            Ok(Err(error)) if error.is_connect() => Probe::Refused,
-            Ok(_) | Err(_) => Probe::Unhealthy,
+        let probing = async {
+            let mut connection = match self.connect().await {
+                Ok(connection) => connection,
+                Err(_) => return Probe::Refused,
+            };
+            let request = Request::get(path).header(header::HOST, self.address.to_string());
+            let Ok(request) = request.body(connection::empty()) else {
+                return Probe::Unhealthy;
+            };
+            match connection.send(request).await {
+                Ok(response) if response.status().is_success() => Probe::Healthy,
+                Ok(_) | Err(_) => Probe::Unhealthy,
+            }
+        };
+        timeout_at(deadline.instant(), probing)
+            .await
+            .unwrap_or(Probe::Unhealthy)
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.lock();
+        idle.retain(|connection| connection.is_usable(now));
+        idle.pop()
+    }
+
+    fn request(&self, job: &Job, payload: &Payload) -> Result<Request<Body>, SendError> {
+        let uri: Uri = job
+            .target
+            .parse()
+            .map_err(|error: http::uri::InvalidUri| SendError::Invalid(error.to_string()))?;
+        let mut request = Request::new(body(payload));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = uri;
+        *request.headers_mut() = self.request_headers(job, payload);
+        Ok(request)
+    }
+
+    fn request_headers(&self, job: &Job, payload: &Payload) -> HeaderMap {
+        let mut headers = without_hop_headers(job.headers.clone());
+        if let Some(parts) = payload.whole() {
+            let length: usize = parts.iter().map(Bytes::len).sum();
+            if length > 0 || headers.contains_key(header::CONTENT_LENGTH) {
+                headers.insert(header::CONTENT_LENGTH, length.into());
+            }
+        }
+        if !headers.contains_key(header::HOST)
+            && let Ok(host) = HeaderValue::from_str(&self.address.to_string())
+        {
+            headers.insert(header::HOST, host);
+        }
+        (self.dialect.write)(self.handover(job), &mut headers);
+        headers
+    }
+
+    fn handover<'a>(&'a self, job: &'a Job) -> Handover<'a> {
+        let remaining = job.deadline.remaining(Instant::now());
+        Handover {
+            request: &job.request,
+            owner: &job.owner,
+            instance: &self.instance,
+            remaining: remaining.saturating_sub(HOP_MARGIN),
+            key: job.key.as_deref(),
         }
     }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Connections to keep when unused, so that those in use, those kept and one for probes stay within
 /// the declared number.
-fn idle(slots: size::Slots, connections: size::Connections) -> usize {
+fn idle_limit(slots: size::Slots, connections: size::Connections) -> usize {
     let spare = connections
         .get()
         .saturating_sub(slots.get().saturating_add(1));
     spare.min(slots.get()) as usize
 }
 
-fn client(idle: usize) -> Result<Client, reqwest::Error> {
-    Client::builder()
-        .no_proxy()
-        .http1_only()
-        .tcp_nodelay(true)
-        .referer(false)
-        .redirect(redirect::Policy::none())
-        .retry(retry::never())
-        .connect_timeout(CONNECT_LIMIT)
-        .pool_max_idle_per_host(idle)
-        .pool_idle_timeout(IDLE_LIMIT)
-        .build()
-}
-
-/// Body of a request; `None` when it is empty.
-fn body(payload: &Payload) -> Option<Body> {
+fn body(payload: &Payload) -> Body {
     match payload.whole() {
-        Some([]) => None,
-        Some([part]) => Some(Body::from(part.clone())),
-        Some(_) | None => Some(Body::wrap_stream(payload.stream())),
+        Some([]) => connection::empty(),
+        Some(_) | None => connection::stream(payload.stream()),
     }
 }
 
-fn request_headers(job: &Job, payload: &Payload, now: Instant) -> HeaderMap {
-    let mut headers = without_hop_headers(job.headers.clone());
-    if let Some(parts) = payload.whole() {
-        headers.remove(header::CONTENT_LENGTH);
-        if parts.len() > 1 {
-            let length: usize = parts.iter().map(bytes::Bytes::len).sum();
-            headers.insert(header::CONTENT_LENGTH, length.into());
-        }
-    }
-    let remaining = job.deadline.remaining(now).saturating_sub(HOP_MARGIN);
-    let texts = [
-        ("dandelionseam-request-id", job.request.to_string()),
-        ("dandelionseam-owner", job.owner.to_string()),
-        (
-            "dandelionseam-deadline-ms",
-            remaining.as_millis().to_string(),
-        ),
-        ("idempotency-key", job.key.clone().unwrap_or_default()),
-    ];
-    for (name, text) in texts {
-        if let Ok(value) = HeaderValue::from_str(&text)
-            && !text.is_empty()
-        {
-            headers.insert(HeaderName::from_static(name), value);
-        }
-    }
-    headers
-}
-
 /// Removes the headers that concern one connection, those named by `connection` included.
 pub(crate) fn without_hop_headers(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
@@ -211,29 +289,3 @@
     }
     headers
 }
-
-/// Whether the upstream refused the call itself, before any work was done.
-pub(crate) fn is_shed(response: &Response) -> bool {
-    response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && response.headers().contains_key(SHED_HEADER)
-}
-
-/// Whether the end of the answer can be told from a cut: it has a length, is chunked, or has no body.
-pub(crate) fn has_end(response: &Response, method: &Method) -> bool {
-    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
-    *method == Method::HEAD
-        || bodiless.contains(&response.status())
-        || response.headers().contains_key(header::CONTENT_LENGTH)
-        || response.headers().contains_key(header::TRANSFER_ENCODING)
-}
-
-/// Text of the innermost cause of an error, which names the reason.
-pub(crate) fn cause(error: &reqwest::Error) -> String {
-    let mut cause = error.source();
-    let mut text = error.to_string();
-    while let Some(inner) = cause {
-        text = inner.to_string();
-        cause = inner.source();
-    }
-    text
-}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -35,10 +35,8 @@
 ) -> Result<Status, (Status, String)> {
     let announcement = read(&message).map_err(|reason| (Status::BadRequest, reason))?;
     log::debug!(service:% = announcement.service, address:% = announcement.address; "announced");
-    match node.target.announce(announcement) {
-        Ok(()) => Ok(Status::NoContent),
-        Err(error) => Err((Status::InternalServerError, format!("{error}\n"))),
-    }
+    node.target.announce(announcement);
+    Ok(Status::NoContent)
 }
 
 /// Takes the announcement back.
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -169,6 +169,9 @@
             None => uri.path().to_string(),
         };
         let mut call = Request::new(id, method, target);
+        if let Some(host) = request.host() {
+            call.host = host.domain().to_string();
+        }
         call.owner = headers::read(request, headers::OWNER)?;
         call.deadline = headers::read_deadline(request)?;
         call.idempotency_key = headers::read_key(request)?;
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -8,22 +8,41 @@
 
 /// Retry budget of one service: a token bucket that calls fill and retries empty.
 ///
-/// However many calls fail, retries stay below 10 plus the configured share of calls.
+/// However many calls fail, retries stay below the saved ones plus the configured share of calls.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     tokens: f64,
+    capacity: f64,
 }
 
 impl Budget {
     /// Creates a budget with 10 retries saved up.
     #[must_use]
     pub const fn new() -> Self {
-        Self { tokens: START }
+        Self {
+            tokens: START,
+            capacity: CAPACITY,
+        }
+    }
+
+    /// Creates a budget with `slack` retries saved up, and never more.
+    #[must_use]
+    pub const fn with_slack(slack: f64) -> Self {
+        Self {
+            tokens: slack,
+            capacity: slack,
+        }
+    }
+
+    /// Changes the number of retries that may be saved up.
+    pub const fn resize(&mut self, slack: f64) {
+        self.capacity = slack;
+        self.tokens = self.tokens.min(slack);
     }
 
     /// Counts a call, which earns `share` of a retry.
     pub fn call(&mut self, share: Percent) {
-        self.tokens = (self.tokens + share.fraction()).min(CAPACITY);
+        self.tokens = (self.tokens + share.fraction()).min(self.capacity);
     }
 
     /// Takes one retry; false when the budget is used up or `share` is zero.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -38,4 +38,4 @@
 pub use load::Load;
 pub use picture::{Choice, Picture, Scope};
 pub use presence::{ANNOUNCEMENT_LIFE, Presence, Probe, Stage, Verdict};
-pub use routes::{NoRoute, Plan, Routes, is_plain_path};
+pub use routes::{NoRoute, Plan, Query, Routes, is_plain_path};
--- a/crates/route/src/presence.rs
+++ b/crates/route/src/presence.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-/// Time after which an announcement that was not renewed lapses.
+/// Time after which an announcement that was not renewed lapses, unless set otherwise.
 pub const ANNOUNCEMENT_LIFE: Duration = Duration::from_secs(3);
 
 /// Refused connections in a row that show that the upstream is gone.
@@ -59,6 +59,7 @@
 pub struct Presence {
     stage: Stage,
     announced: Instant,
+    life: Duration,
     refused: u32,
     unhealthy: u32,
     doubted: bool,
@@ -72,6 +73,7 @@
         Self {
             stage,
             announced: now,
+            life: ANNOUNCEMENT_LIFE,
             refused: 0,
             unhealthy: 0,
             doubted: false,
@@ -79,6 +81,13 @@
         }
     }
 
+    /// Sets the time after which an announcement lapses.
+    #[must_use]
+    pub const fn with_life(mut self, life: Duration) -> Self {
+        self.life = life;
+        self
+    }
+
     /// Renews the announcement.
     pub fn announce(&mut self, stage: Stage, now: Instant) {
         self.stage = stage;
@@ -125,7 +134,7 @@
     /// When the announcement lapses unless it is renewed.
     #[must_use]
     pub fn expiry(&self) -> Instant {
-        self.announced + ANNOUNCEMENT_LIFE
+        self.announced + self.life
     }
 
     /// Whether the upstream may get calls at `now`.
