Run on the users' platform: sidecar, directory, front and the adapter

The thin path from end to end: configuration and entries of nodes come from the platform's store, a request passes the nodes beside caller and target.

--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -22,6 +22,15 @@
 /// which knows whether the call ran. It covers both ways between regions.
 const REPORT_GRACE: Duration = Duration::from_millis(100);
 
+/// Time for the body of an answer whose head came just before the deadline. The answer is there, and
+/// breaking it off would lose the work.
+const BODY_GRACE: Duration = Duration::from_secs(2);
+
+/// By when the body of an answer whose head comes now must have ended.
+pub(crate) fn body_deadline(deadline: Deadline) -> Deadline {
+    deadline.max(Deadline::after(BODY_GRACE))
+}
+
 /// Sends a call to the node beside a target and waits for the head of the answer.
 ///
 /// # Errors
@@ -52,7 +61,10 @@
     };
     link.upload = Some(Box::pin(send_body(sender, payload.stream())));
     match timeout_at(grace.instant(), link.next()).await {
-        Ok(Ok(Event::Answer(head))) => reply(head, link),
+        Ok(Ok(Event::Answer(head))) => {
+            link.deadline = body_deadline(link.deadline);
+            reply(head, link)
+        }
         Ok(Ok(Event::Failure(failure))) => Err(failure),
         Ok(Ok(Event::Data(_) | Event::End)) => Err(unknown("answer without a head")),
         Ok(Err(Lost::Caller(reason))) => Err(caller_broke_off(&reason)),
--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -8,10 +8,11 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
-use types::{Fault, Outcome};
+use types::{Deadline, Fault, Outcome};
 
 use crate::active::Entry;
 use crate::connection::Connection;
+use crate::exchange::body_deadline;
 use crate::gate::Permit;
 use crate::job::Job;
 use crate::local::Local;
@@ -164,6 +165,7 @@
         let body = Running {
             parts: response.into_body(),
             connection,
+            deadline: body_deadline(self.job.deadline),
             run: self,
             recording,
         };
@@ -184,12 +186,14 @@
     connection: Connection,
     run: Run,
     recording: Option<Recording>,
+    /// By when the whole answer must have come.
+    deadline: Deadline,
 }
 
 /// Next piece of the body; the state is empty after the end.
 async fn next_part(running: Option<Running>) -> Option<(Result<Bytes, Cut>, Option<Running>)> {
     let mut running = running?;
-    let deadline = running.run.job.deadline.instant();
+    let deadline = running.deadline.instant();
     let reason = loop {
         match timeout_at(deadline, running.parts.frame()).await {
             Ok(Some(Ok(frame))) => {
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -18,8 +18,8 @@
 /// Longest time between the start of a stream and the head of its call.
 const HEAD_LIMIT: Duration = Duration::from_secs(5);
 
-/// Time after the deadline that a report to the caller's node may still take.
-const REPORT_LIMIT: Duration = Duration::from_secs(1);
+/// Time after the deadline that a report to the caller's node, or the rest of an answer, may still take.
+const REPORT_LIMIT: Duration = Duration::from_secs(3);
 
 impl Target {
     /// Serves one call stream of another node to its end.
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,30 @@
+//! HTTP/1.1 server towards callers.
+//!
+//! [`Server`] accepts connections, one task each, and hands every request to a closure. The future of
+//! that closure is dropped when the caller hangs up, and a body that ends with an error breaks the
+//! connection off, so that a cut answer never looks whole. [`Limits`] are asked for each time, so a new
+//! configuration applies to open connections as well.
+//!
+//! ```no_run
+//! use std::sync::Arc;
+//! use std::time::Duration;
+//!
+//! use front::{Limits, Server, whole};
+//! use http::Response;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> std::io::Result<()> {
+//! let limits = Limits { header_bytes: 16 * 1024, idle: Duration::from_secs(15), connections: 1000 };
+//! let server = Arc::new(Server::new(move || limits));
+//! let listener = front::bind("127.0.0.1:8080".parse().expect("valid address"))?;
+//! server.serve(listener, |_| async { Ok(Response::new(whole("hello\n"))) }).await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod activity;
+mod body;
+mod server;
+
+pub use body::{Aborted, Body, stream, whole};
+pub use server::{Limits, Server, bind};
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,8 +1,8 @@
-//! Log output: one line for each record on standard error, written by a thread of its own.
+//! Log output: one line for each record, written by a thread of its own.
 
 use log::LevelFilter;
-use logforth::append::Stderr;
 use logforth::append::asynchronous::AsyncBuilder;
+use logforth::append::{Stderr, Stdout};
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::starter_log;
@@ -24,7 +24,7 @@
     Logger(#[from] logforth::Error),
 }
 
-/// Directs the records of the `log` crate to standard error.
+/// Directs the records of the `log` crate to the output of the settings.
 ///
 /// Records of the HTTP library are left out below `error`: it writes several for each request.
 ///
@@ -34,16 +34,17 @@
 /// place.
 pub fn start(settings: &Log) -> Result<(), Error> {
     let level: LevelFilter = settings.level.parse()?;
-    let output = if settings.format == "json" {
-        Stderr::default().with_layout(JsonLayout::default())
-    } else {
-        Stderr::default().with_layout(TextLayout::default().no_color())
-    };
     let writer = AsyncBuilder::new("log")
         .buffered_lines_limit(Some(LINE_LIMIT))
-        .overflow_drop_incoming()
-        .append(output)
-        .build();
+        .overflow_drop_incoming();
+    let json = settings.format == "json";
+    let writer = match (settings.output.as_str(), json) {
+        ("stdout", true) => writer.append(Stdout::default().with_layout(JsonLayout::default())),
+        ("stdout", false) => writer.append(Stdout::default().with_layout(text())),
+        (_, true) => writer.append(Stderr::default().with_layout(JsonLayout::default())),
+        (_, false) => writer.append(Stderr::default().with_layout(text())),
+    };
+    let writer = writer.build();
     let spec = format!("{level},rocket=off,hyper=off,hyper_util=off,h2=off,reqwest=off");
     let filter = RustLogFilterBuilder::try_from_spec(spec.as_str())?.build();
     starter_log::builder()
@@ -53,3 +54,7 @@
     log::set_max_level(level);
     Ok(())
 }
+
+fn text() -> TextLayout {
+    TextLayout::default().no_color()
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`Picture`] chooses a target from [`Candidate`]s by [`Tier`], subset, load and recent failures.
 //! - [`Admission`] decides whether a target takes a call, lets it wait or refuses it.
 //! - [`Presence`] decides whether an upstream may get calls.
+//! - [`Succession`] decides which start of an upstream gets calls.
 //! - [`Budget`] bounds retries, [`Bucket`] bounds keyed calls.
 //!
 //! Nothing here reads a clock, draws its own random numbers or does I/O: `now` and the random source
@@ -30,6 +31,7 @@
 mod picture;
 mod presence;
 mod routes;
+mod succession;
 
 pub use admission::{Admission, Decision, Refusal, Ticket};
 pub use bucket::Bucket;
@@ -39,3 +41,4 @@
 pub use picture::{Choice, Picture, Scope};
 pub use presence::{ANNOUNCEMENT_LIFE, Presence, Probe, Stage, Verdict};
 pub use routes::{NoRoute, Plan, Query, Routes, is_plain_path};
+pub use succession::{Notice, Standing, Succession};
--- /dev/null
+++ b/crates/route/src/succession.rs
@@ -0,0 +1,127 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+use types::Timestamp;
+
+use crate::Stage;
+
+/// Silence of the current start after which an older one is believed again. Its clock may have been
+/// ahead when it began.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// Starts of upstreams that have taken their leave and are remembered. A late announcement of one of
+/// them must not bring it back.
+const REMEMBERED: usize = 16;
+
+/// One announcement of an upstream, as far as its place among others is concerned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Notice {
+    /// Identity of the upstream's start.
+    pub instance: String,
+    /// When that start began, by the upstream's clock. An upstream may start again under the same
+    /// identity.
+    pub started: Timestamp,
+    /// Grows with each announcement of one start.
+    pub sequence: u64,
+    /// State that the upstream announces.
+    pub stage: Stage,
+}
+
+/// Decision on an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It comes from the start that gets the calls.
+    Current(Stage),
+    /// It comes from a start that gets the calls from now on.
+    New(Stage),
+    /// It changes nothing, for this reason.
+    Ignored(&'static str),
+}
+
+/// Which start of an upstream gets the calls of a node.
+///
+/// Announcements arrive late and out of order, and an address is used by one start after the other. A
+/// start that drains or has taken its leave never gets calls again.
+#[derive(Debug, Default)]
+pub struct Succession {
+    current: Option<Current>,
+    departed: Vec<(String, Timestamp)>,
+}
+
+#[derive(Debug)]
+struct Current {
+    instance: String,
+    started: Timestamp,
+    sequence: u64,
+    draining: bool,
+    heard: Instant,
+}
+
+impl Succession {
+    /// Decides on an announcement that arrived at `now`.
+    pub fn announce(&mut self, notice: &Notice, now: Instant) -> Standing {
+        if self.has_departed(&notice.instance, notice.started) {
+            return Standing::Ignored("upstream has taken its leave");
+        }
+        match &mut self.current {
+            Some(current)
+                if current.instance == notice.instance && current.started == notice.started =>
+            {
+                if notice.sequence <= current.sequence {
+                    return Standing::Ignored("announcement is late");
+                }
+                current.sequence = notice.sequence;
+                current.heard = now;
+                current.draining |= notice.stage == Stage::Draining;
+                Standing::Current(if current.draining {
+                    Stage::Draining
+                } else {
+                    notice.stage
+                })
+            }
+            Some(current)
+                if notice.started < current.started
+                    && now.saturating_duration_since(current.heard) < SILENCE =>
+            {
+                Standing::Ignored("a later start is known")
+            }
+            _ => {
+                self.current = Some(Current {
+                    instance: notice.instance.clone(),
+                    started: notice.started,
+                    sequence: notice.sequence,
+                    draining: notice.stage == Stage::Draining,
+                    heard: now,
+                });
+                Standing::New(notice.stage)
+            }
+        }
+    }
+
+    /// Notes that a start has taken its leave; `started` may be left out by the upstream. Returns the
+    /// time when that start began, when it is the one that gets the calls.
+    pub fn depart(&mut self, instance: &str, started: Option<Timestamp>) -> Option<Timestamp> {
+        let current = self
+            .current
+            .take_if(|current| {
+                current.instance == instance && started.is_none_or(|at| at >= current.started)
+            })
+            .map(|current| current.started);
+        if let Some(started) = started.max(current) {
+            self.forget_oldest();
+            self.departed.push((instance.to_owned(), started));
+        }
+        current
+    }
+
+    fn has_departed(&self, instance: &str, started: Timestamp) -> bool {
+        let mut departed = self.departed.iter();
+        departed.any(|(known, at)| known == instance && started <= *at)
+    }
+
+    fn forget_oldest(&mut self) {
+        if self.departed.len() >= REMEMBERED {
+            self.departed.remove(0);
+        }
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`bundle`]: values in the store, also carried between nodes.
 //! - [`control`] and [`call`]: messages of the streams between nodes.
+//! - [`directory`]: entries of nodes in the platform's store.
 //! - [`settings`] and [`operator`]: sections of INI files, with a key table for each.
 //! - [`gateway`], [`upstream`] and [`standin`]: JSON messages of the store's gateway, of upstreams and
 //!   of the stand-ins.
@@ -41,6 +42,12 @@
 #[rustfmt::skip]
 pub mod control;
 
+/// Entries of nodes in the platform's store.
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/directory.rs"]
+#[rustfmt::skip]
+pub mod directory;
+
 /// Messages of the etcd v3 HTTP/JSON gateway.
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
 #[path = "generated/gateway.rs"]
--- a/crates/schemagen/src/main.rs
+++ b/crates/schemagen/src/main.rs
@@ -16,7 +16,12 @@
 use thiserror::Error;
 
 /// Files whose messages travel or are stored.
-const MESSAGE_FILES: [&str; 3] = ["bundle.proto", "control.proto", "call.proto"];
+const MESSAGE_FILES: [&str; 4] = [
+    "bundle.proto",
+    "control.proto",
+    "call.proto",
+    "directory.proto",
+];
 /// Files whose messages travel as JSON.
 const JSON_FILES: [&str; 3] = ["gateway.proto", "standin.proto", "upstream.proto"];
 /// Files whose messages are INI sections.
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 
 use schema::section::Section as Table;
-use schema::settings::{Calls, Listen, Log, Node, Spread, Store};
+use schema::settings::{Calls, Listen, Log, Node, Retries, Spread, Stop, Store, Upstream};
 use types::{Finding, Findings, id};
 
 use crate::Document;
@@ -20,16 +20,25 @@
     pub spread: Spread,
     /// Call path.
     pub calls: Calls,
+    /// Upstream beside the node.
+    pub upstream: Upstream,
+    /// Retries of the whole mesh.
+    pub retries: Retries,
+    /// Planned stop.
+    pub stop: Stop,
     /// Log output.
     pub log: Log,
 }
 
-const KINDS: [&str; 6] = [
+const KINDS: [&str; 9] = [
     Node::SECTION.name,
     Listen::SECTION.name,
     Store::SECTION.name,
     Spread::SECTION.name,
     Calls::SECTION.name,
+    Upstream::SECTION.name,
+    Retries::SECTION.name,
+    Stop::SECTION.name,
     Log::SECTION.name,
 ];
 
@@ -48,6 +57,9 @@
             store: document.fill(&Store::SECTION, &mut findings),
             spread: document.fill(&Spread::SECTION, &mut findings),
             calls: document.fill(&Calls::SECTION, &mut findings),
+            upstream: document.fill(&Upstream::SECTION, &mut findings),
+            retries: document.fill(&Retries::SECTION, &mut findings),
+            stop: document.fill(&Stop::SECTION, &mut findings),
             log: document.fill(&Log::SECTION, &mut findings),
         };
         settings.check(&document, &mut findings);
@@ -63,6 +75,9 @@
             print(&Store::SECTION, &self.store),
             print(&Spread::SECTION, &self.spread),
             print(&Calls::SECTION, &self.calls),
+            print(&Upstream::SECTION, &self.upstream),
+            print(&Retries::SECTION, &self.retries),
+            print(&Stop::SECTION, &self.stop),
             print(&Log::SECTION, &self.log),
         ];
         sections.join("\n")
@@ -95,12 +110,31 @@
             ("listen.peers", &listen.peers),
             ("listen.admin", &listen.admin),
         ];
+        let optional = [
+            ("listen.ready", &listen.ready),
+            ("listen.announcements", &listen.announcements),
+            ("listen.metrics", &listen.metrics),
+            ("upstream.address", &self.upstream.address),
+        ];
+        let addresses = addresses
+            .into_iter()
+            .chain(optional.into_iter().filter(|(_, text)| !text.is_empty()));
         let seeds = self.node.seeds.iter().map(|seed| ("node.seeds", seed));
-        for (key, text) in addresses.into_iter().chain(seeds) {
+        for (key, text) in addresses.chain(seeds) {
             if text.parse::<SocketAddr>().is_err() {
                 report(key, format!("`{text}` is not an IP address with a port"));
             }
         }
+        for (key, text) in [
+            ("retries.ratio", &self.retries.ratio),
+            ("retries.slack", &self.retries.slack),
+            ("stop.grace_s", &self.stop.grace_s),
+        ] {
+            let number = text.parse::<f64>();
+            if !number.is_ok_and(|number| number.is_finite() && number >= 0.0) {
+                report(key, format!("`{text}` is not a number from 0 up"));
+            }
+        }
         for url in &self.store.addresses {
             if !is_http_url(url) {
                 report(
--- /dev/null
+++ b/crates/sidecar/src/error.rs
@@ -0,0 +1,26 @@
+use std::io;
+
+use thiserror::Error;
+use types::id;
+
+/// Reason why the node cannot start.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// A port cannot be bound.
+    #[error("address {address}: {source}")]
+    Listen {
+        /// Address of the settings.
+        address: String,
+        /// Error of the operating system.
+        source: io::Error,
+    },
+    /// A setting is not an address.
+    #[error("`{0}` is not an address")]
+    Address(String),
+    /// A name is not valid.
+    #[error("{0}")]
+    Id(#[from] id::Invalid),
+    /// Signals cannot be taken over.
+    #[error("signals: {0}")]
+    Signals(io::Error),
+}
