--- a/crates/call/src/announcement.rs
+++ b/crates/call/src/announcement.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use route::Stage;
 use types::{id, size};
@@ -21,6 +22,8 @@
     /// Start of the upstream, so that a new one at the same address is told apart; empty when the
     /// upstream does not say.
     pub instance: String,
+    /// Time for which it stays slow after its start; `None` when the upstream does not say.
+    pub cold_left: Option<Duration>,
 }
 
 impl Announcement {
@@ -40,6 +43,7 @@
             state: Stage::Ready,
             health: String::new(),
             instance: String::new(),
+            cold_left: None,
         }
     }
 
--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use route::{Budget, Choice, NoRoute, Place, Plan, Query, Routes};
+use route::{Budget, Choice, NoRoute, Patience, Place, Plan, Query, Routes};
 use tokio::time::{Instant, sleep, timeout_at};
 use types::{Deadline, Outcome, id};
 
@@ -35,6 +35,7 @@
     pool: Pool,
     targets: Targets,
     budgets: Mutex<HashMap<id::Service, Budget>>,
+    patience: Mutex<Patience>,
 }
 
 impl Caller {
@@ -58,6 +59,7 @@
             pool: Pool::new(idle_limit),
             targets: Targets::default(),
             budgets: Mutex::default(),
+            patience: Mutex::default(),
         });
         tokio::spawn(sweep(
             Arc::downgrade(&shared),
@@ -101,10 +103,21 @@
         }
         let plan = find(routes, &request)?;
         let owner = ledger.set_plan(&plan);
-        let (job, payload) = prepare(routes, &plan, owner, request).await?;
+        let elapsed = self.elapsed(&plan, request.deadline);
+        let (job, payload) = prepare(routes, &plan, owner, request, elapsed).await?;
         self.try_targets(&plan, &job, &payload).await
     }
 
+    /// Time since the caller first sent the call, as far as its deadline shows.
+    fn elapsed(&self, plan: &Plan, deadline: Option<Deadline>) -> Duration {
+        let Some(deadline) = deadline else {
+            return Duration::ZERO;
+        };
+        let left = deadline.remaining(Instant::now());
+        let mut patience = self.patience.lock().unwrap_or_else(PoisonError::into_inner);
+        patience.elapsed(&plan.route, left)
+    }
+
     /// Sends the call to one target after another, within the attempts, the budget and the deadline.
     ///
     /// Only a request that reached an upstream counts as an attempt: a refusal by the node beside it
@@ -240,7 +253,9 @@
     plan: &Plan,
     owner: id::Owner,
     request: Request,
+    elapsed: Duration,
 ) -> Result<(Job, Payload), Failure> {
+    let now = Instant::now();
     let longest = Deadline::after(plan.deadline);
     let deadline = request.deadline.map_or(longest, |set| set.min(longest));
     if deadline.has_passed(Instant::now()) {
@@ -270,6 +285,8 @@
         key: request.idempotency_key,
         version: routes.version(),
         priority: plan.priority,
+        objective: (!plan.objective.is_zero())
+            .then(|| Deadline::new(now + plan.objective.saturating_sub(elapsed))),
     };
     Ok((job, payload))
 }
--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -62,7 +62,8 @@
     link.upload = Some(Box::pin(send_body(sender, payload.stream())));
     match timeout_at(grace.instant(), link.next()).await {
         Ok(Ok(Event::Answer(head))) => {
-            link.deadline = body_deadline(link.deadline);
+            let end = body_deadline(job.deadline).instant() + REPORT_GRACE;
+            link.deadline = Deadline::new(end);
             reply(head, link)
         }
         Ok(Ok(Event::Failure(failure))) => Err(failure),
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use route::{Admission, Decision, Load, Refusal, Ticket};
+use route::{Admission, Decision, Demand, Load, Refusal, Ticket};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, timeout_at};
 use types::{Deadline, size};
@@ -46,10 +46,10 @@
     /// # Errors
     ///
     /// Returns the reason why the call is refused. It has not run.
-    pub(crate) async fn enter(self: &Arc<Self>, deadline: Deadline) -> Result<Permit, Refusal> {
+    pub(crate) async fn enter(self: &Arc<Self>, demand: Demand) -> Result<Permit, Refusal> {
         let (ticket, granted) = {
             let mut inner = self.lock();
-            match inner.admission.admit(deadline, Instant::now()) {
+            match inner.admission.admit(demand, Instant::now()) {
                 Decision::Admit => {
                     self.in_use.send_replace(inner.admission.in_use());
                     return Ok(self.permit());
@@ -67,7 +67,7 @@
             ticket,
             granted,
         };
-        let decision = timeout_at(deadline.instant(), &mut place.granted).await;
+        let decision = timeout_at(demand.deadline.instant(), &mut place.granted).await;
         let Ok(Ok(decision)) = decision else {
             return Err(Refusal::Late);
         };
--- a/crates/call/src/job.rs
+++ b/crates/call/src/job.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, Method};
+use route::Demand;
 use schema::call::CallHead;
 use tokio::time::Instant;
 use types::{Deadline, Version, id};
@@ -24,9 +25,20 @@
     pub(crate) version: Version,
     /// Rank in a full queue; 0 goes first.
     pub(crate) priority: u32,
+    /// By when the answer is of full use; `None` without an objective.
+    pub(crate) objective: Option<Deadline>,
 }
 
 impl Job {
+    /// What the call asks of the target's queue.
+    pub(crate) const fn demand(&self) -> Demand {
+        Demand {
+            deadline: self.deadline,
+            objective: self.objective,
+            priority: self.priority,
+        }
+    }
+
     /// Message for the target's node, with the time that is left at `now` less `margin`.
     pub(crate) fn to_head(&self, margin: Duration, now: Instant) -> CallHead {
         let remaining = self.deadline.remaining(now).saturating_sub(margin);
@@ -44,6 +56,11 @@
             idempotency_key: self.key.clone().unwrap_or_default(),
             version: self.version.get(),
             priority: self.priority,
+            objective_us: self.objective.map_or(0, |objective| {
+                let left = objective.remaining(now).saturating_sub(margin);
+                // Zero stands for no objective.
+                u64::try_from(left.as_micros()).unwrap_or(u64::MAX).max(1)
+            }),
         }
     }
 
@@ -64,6 +81,10 @@
             key: (!head.idempotency_key.is_empty()).then_some(head.idempotency_key),
             version: Version::new(head.version),
             priority: head.priority,
+            objective: (head.objective_us > 0).then(|| {
+                let left = Duration::from_micros(head.objective_us).min(DEADLINE_LIMIT);
+                Deadline::new(now + left)
+            }),
         })
     }
 }
--- a/crates/call/src/local.rs
+++ b/crates/call/src/local.rs
@@ -58,6 +58,7 @@
         let (slots, connections) = (announcement.slots, announcement.connections);
         let usable = Upstream::usable_slots(slots, connections);
         let draining = draining || announcement.state == Stage::Draining;
+        let cold_until = announcement.cold_left.map(|left| Instant::now() + left);
         self.upstream.resize(slots, connections);
         let ready_anew = {
             let mut state = self.lock();
@@ -69,6 +70,9 @@
         self.gate.update(|admission| {
             admission.resize(usable, queue);
             admission.set_draining(draining);
+            if let Some(until) = cold_until {
+                admission.set_cold_until(until);
+            }
             if ready_anew {
                 admission.restart(Instant::now());
             }
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -145,7 +145,7 @@
     /// upstream refused the call itself.
     pub(crate) async fn run(&self, job: Job, payload: Payload) -> Result<Reply, Failure> {
         let local = self.admit(&job)?;
-        let permit = match local.gate.enter(job.deadline).await {
+        let permit = match local.gate.enter(job.demand()).await {
             Ok(permit) => permit,
             Err(refusal) => {
                 let failure = Failure::service(&job.service, refusal.reason());
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -4,7 +4,17 @@
 use tokio::time::Instant;
 use types::{Deadline, size};
 
-use crate::{Load, limit::Limit};
+use crate::{Demand, Load, limit::Limit};
+
+/// Part of the time that an objective leaves beside the service time which a call may wait. Service times
+/// vary, so a call that waits longer would often miss its objective.
+const WAIT_SHARE: f64 = 0.5;
+
+/// Longest wait of a call that misses its objective anyway.
+const LATE_WAIT: Duration = Duration::from_millis(100);
+
+/// Part of the average service time that must be left before the deadline when a call begins.
+const SERVICE_SHARE: f64 = 0.5;
 
 /// Share of a new sample in the average service time.
 const SMOOTHING: f64 = 0.1;
@@ -25,6 +35,8 @@
     QueueFull,
     /// The deadline passes before a slot is expected to be free.
     Slow,
+    /// The wait would cost the call its objective.
+    Busy,
     /// The target takes no new calls.
     Draining,
 }
@@ -37,6 +49,7 @@
             Self::Late => "deadline passed before hand-over",
             Self::QueueFull => "queue full",
             Self::Slow => "deadline cannot be met",
+            Self::Busy => "objective cannot be met",
             Self::Draining => "draining",
         }
     }
@@ -53,13 +66,21 @@
     Refuse(Refusal),
 }
 
+#[derive(Debug)]
+struct Waiting {
+    ticket: Ticket,
+    deadline: Deadline,
+    rank: (u32, Instant),
+}
+
 /// Admission of calls to one target: slots, a bounded queue and the estimated wait.
 #[derive(Debug)]
 pub struct Admission {
     limit: Limit,
     queue_limit: size::Queue,
     in_use: u32,
-    queue: VecDeque<(Ticket, Deadline)>,
+    /// Calls that wait, the next one first.
+    queue: VecDeque<Waiting>,
     next_ticket: u64,
     /// Average service time, in seconds.
     service_time: f64,
@@ -110,8 +131,8 @@
 
     /// Decides on a call that arrived at `now`. A call with time left that finds a free slot runs even if
     /// it may be too slow, since nothing else needs the slot and its service time is not known.
-    pub fn admit(&mut self, deadline: Deadline, now: Instant) -> Decision {
-        match self.decide(deadline, now) {
+    pub fn admit(&mut self, demand: Demand, now: Instant) -> Decision {
+        match self.decide(&demand, now) {
             Ok(()) if self.queue.is_empty() && self.in_use < self.limit.get(now) => {
                 self.in_use += 1;
                 Decision::Admit
@@ -119,7 +140,13 @@
             Ok(()) => {
                 let ticket = Ticket(self.next_ticket);
                 self.next_ticket += 1;
-                self.queue.push_back((ticket, deadline));
+                let rank = demand.rank(now);
+                let waiting = Waiting {
+                    ticket,
+                    deadline: demand.deadline,
+                    rank,
+                };
+                self.queue.insert(self.ahead(rank), waiting);
                 Decision::Wait(ticket)
             }
             Err(refusal) => {
@@ -129,11 +156,11 @@
         }
     }
 
-    fn decide(&self, deadline: Deadline, now: Instant) -> Result<(), Refusal> {
+    fn decide(&self, demand: &Demand, now: Instant) -> Result<(), Refusal> {
         if self.draining {
             return Err(Refusal::Draining);
         }
-        if deadline.has_passed(now) {
+        if demand.deadline.has_passed(now) {
             return Err(Refusal::Late);
         }
         if self.queue.is_empty() && self.in_use < self.limit.get(now) {
@@ -142,10 +169,28 @@
         if self.queue.len() >= self.queue_limit.get() as usize {
             return Err(Refusal::QueueFull);
         }
-        if self.wait(now) + self.shortest() >= deadline.remaining(now) {
+        let wait = self.wait(self.ahead(demand.rank(now)), now);
+        if wait + self.shortest() >= demand.deadline.remaining(now) {
             return Err(Refusal::Slow);
         }
-        Ok(())
+        match self.longest_wait(demand, now) {
+            Some(longest) if wait > longest => Err(Refusal::Busy),
+            _ => Ok(()),
+        }
+    }
+
+    /// Longest wait after which a call is still of use; `None` for calls without an objective and for
+    /// those of the highest rank, which other calls depend on.
+    fn longest_wait(&self, demand: &Demand, now: Instant) -> Option<Duration> {
+        let objective = demand.objective.filter(|_| demand.priority > 0)?;
+        let service = Duration::try_from_secs_f64(self.service_time).unwrap_or(Duration::MAX);
+        let spare = objective.remaining(now).saturating_sub(service);
+        Some(spare.mul_f64(WAIT_SHARE).max(LATE_WAIT))
+    }
+
+    /// Number of waiting calls that go before a call of this rank.
+    fn ahead(&self, rank: (u32, Instant)) -> usize {
+        self.queue.partition_point(|waiting| waiting.rank <= rank)
     }
 
     /// Frees the slot of a call that was admitted and took `took`.
@@ -172,12 +217,11 @@
     /// Returns the ticket of each call that left the queue with its decision; call it after each
     /// change until it returns `None`.
     pub fn next(&mut self, now: Instant) -> Option<(Ticket, Result<(), Refusal>)> {
-        let (_, deadline) = self.queue.front()?;
-        let refusal = self.outdated(*deadline, now);
+        let refusal = self.outdated(self.queue.front()?.deadline, now);
         if refusal.is_none() && self.in_use >= self.limit.get(now) {
             return None;
         }
-        let (ticket, _) = self.queue.pop_front()?;
+        let ticket = self.queue.pop_front()?.ticket;
         if let Some(refusal) = refusal {
             self.refused.count(now);
             return Some((ticket, Err(refusal)));
@@ -192,7 +236,7 @@
             Some(Refusal::Draining)
         } else if deadline.has_passed(now) {
             Some(Refusal::Late)
-        } else if deadline.remaining(now) < self.shortest() {
+        } else if deadline.remaining(now) < self.shortest().max(self.least_service()) {
             Some(Refusal::Slow)
         } else {
             None
@@ -201,7 +245,8 @@
 
     /// Removes a call that no longer waits; false when it was not in the queue.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        let place = self.queue.iter().position(|(queued, _)| *queued == ticket);
+        let mut queue = self.queue.iter();
+        let place = queue.position(|waiting| waiting.ticket == ticket);
         place.and_then(|place| self.queue.remove(place)).is_some()
     }
 
@@ -218,7 +263,8 @@
             in_use: self.in_use,
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             slots: self.limit.get(now),
-            wait_us: u64::try_from(self.wait(now).as_micros()).unwrap_or(u64::MAX),
+            wait_us: u64::try_from(self.wait(self.queue.len(), now).as_micros())
+                .unwrap_or(u64::MAX),
             shed: self.refused.last_second(now),
             cold: self.limit.is_cold(now),
         }
@@ -230,6 +276,17 @@
         self.in_use
     }
 
+    /// Whether most of the slots are in use, so that a refusal by the upstream can be due to its load.
+    #[must_use]
+    pub fn is_nearly_full(&self, now: Instant) -> bool {
+        self.in_use * 4 >= self.limit.get(now) * 3
+    }
+
+    /// Marks until when the upstream says that it is slow after its start. Its slots are all of use.
+    pub const fn set_cold_until(&mut self, until: Instant) {
+        self.limit.set_cold_until(until);
+    }
+
     /// Slots that may be in use at `now`.
     #[must_use]
     pub fn limit(&self, now: Instant) -> u32 {
@@ -240,13 +297,19 @@
         Duration::try_from_secs_f64(self.shortest).unwrap_or(Duration::MAX)
     }
 
-    /// Estimated wait of a call that arrives at `now`.
-    fn wait(&self, now: Instant) -> Duration {
+    /// Time that a call needs at least to be worth a slot.
+    fn least_service(&self) -> Duration {
+        let least = self.service_time * SERVICE_SHARE;
+        Duration::try_from_secs_f64(least).unwrap_or(Duration::MAX)
+    }
+
+    /// Estimated wait behind `ahead` waiting calls.
+    fn wait(&self, ahead: usize, now: Instant) -> Duration {
         let limit = self.limit.get(now);
         if self.queue.is_empty() && self.in_use < limit {
             return Duration::ZERO;
         }
-        let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let rounds = (f64::from(ahead) + 1.0) / f64::from(limit);
         Duration::try_from_secs_f64(rounds * self.service_time).unwrap_or(Duration::MAX)
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,23 +11,25 @@
 //! are arguments.
 //!
 //! ```
-//! use route::{Admission, Decision, Refusal};
+//! use route::{Admission, Decision, Demand, Refusal};
 //! use tokio::time::Instant;
 //! use types::{Deadline, size};
 //!
 //! let now = Instant::now();
-//! let deadline = Deadline::after_ms(100);
+//! let demand = Demand::new(Deadline::after_ms(100));
 //! let mut admission = Admission::new(size::Slots::new(1), size::Queue::new(0), now);
-//! assert_eq!(admission.admit(deadline, now), Decision::Admit);
-//! assert_eq!(admission.admit(deadline, now), Decision::Refuse(Refusal::QueueFull));
+//! assert_eq!(admission.admit(demand, now), Decision::Admit);
+//! assert_eq!(admission.admit(demand, now), Decision::Refuse(Refusal::QueueFull));
 //! ```
 
 mod admission;
 mod bucket;
 mod budget;
 mod candidate;
+mod demand;
 mod limit;
 mod load;
+mod patience;
 mod picture;
 mod presence;
 mod routes;
@@ -37,7 +39,9 @@
 pub use bucket::Bucket;
 pub use budget::Budget;
 pub use candidate::{Candidate, Place, Tier};
+pub use demand::Demand;
 pub use load::Load;
+pub use patience::Patience;
 pub use picture::{Choice, Picture, Scope};
 pub use presence::{ANNOUNCEMENT_LIFE, Presence, Probe, Stage, Verdict};
 pub use routes::{NoRoute, Plan, Query, Routes, is_plain_path};
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -23,6 +23,8 @@
     /// Limit after the last reduction and its time; it grows by one each second from then on.
     reduced: Option<(f64, Instant)>,
     doubted: bool,
+    /// Until when the upstream says that it is slow after its start.
+    cold_until: Option<Instant>,
 }
 
 impl Limit {
@@ -32,6 +34,7 @@
             ready_since: now,
             reduced: None,
             doubted: false,
+            cold_until: None,
         }
     }
 
@@ -48,7 +51,14 @@
         self.doubted = doubted;
     }
 
+    pub(crate) const fn set_cold_until(&mut self, until: Instant) {
+        self.cold_until = Some(until);
+    }
+
     pub(crate) fn is_cold(&self, now: Instant) -> bool {
+        if let Some(until) = self.cold_until {
+            return now < until;
+        }
         now.saturating_duration_since(self.ready_since) < WARM_UP
     }
 
@@ -75,7 +85,10 @@
     fn value(&self, now: Instant) -> f64 {
         let slots = f64::from(self.slots.get());
         let age = now.saturating_duration_since(self.ready_since);
-        let warmth = (age.as_secs_f64() / WARM_UP.as_secs_f64()).min(1.0);
+        let warmth = match self.cold_until {
+            Some(_) => 1.0,
+            None => (age.as_secs_f64() / WARM_UP.as_secs_f64()).min(1.0),
+        };
         let warm = slots * (FIRST_SHARE + (1.0 - FIRST_SHARE) * warmth);
         let grown = self.reduced.map_or(slots, |(value, at)| {
             value + now.saturating_duration_since(at).as_secs_f64()
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use route::{Admission, Decision, Refusal, Ticket};
+use route::{Admission, Decision, Demand, Refusal, Ticket};
 use tokio::time::Instant;
 use types::{Deadline, size};
 
@@ -107,7 +107,7 @@
                         Refusal::Draining => draining,
                         Refusal::Late => late,
                         Refusal::Slow => !late,
-                        Refusal::QueueFull => false,
+                        Refusal::QueueFull | Refusal::Busy => false,
                     });
                     self.ended += 1;
                 }
@@ -118,7 +118,7 @@
     fn arrive(&mut self, left_ms: u64, draining: bool) {
         let deadline = Deadline::new(self.now + Duration::from_millis(left_ms));
         let room = self.running < self.admission.limit(self.now) && self.waiting.is_empty();
-        match self.admission.admit(deadline, self.now) {
+        match self.admission.admit(Demand::new(deadline), self.now) {
             Decision::Admit => {
                 assert!(room && left_ms > 0 && !draining);
                 self.running += 1;
@@ -133,6 +133,7 @@
                     Refusal::Late => left_ms == 0,
                     Refusal::QueueFull => !room && self.waiting.len() >= QUEUE as usize,
                     Refusal::Slow => !room,
+                    Refusal::Busy => false,
                 };
                 assert!(expected, "{refusal:?}");
                 self.ended += 1;
@@ -244,7 +245,7 @@
         }
         if ms % 5 < 2 {
             let deadline = Deadline::new(at(ms + PATIENCE_MS));
-            match admission.admit(deadline, at(ms)) {
+            match admission.admit(Demand::new(deadline), at(ms)) {
                 Decision::Admit => begin(deadline),
                 Decision::Wait(ticket) => {
                     waiting.insert(ticket, deadline);
