Choose targets by their expected time; keep large answers in the region

Cause: when all targets were busy, a call went to the nearest one however long its queue was, and a slow target got as many calls as a fast one. Large answers spilled to other regions, where their bytes cost more than they are worth.

The wait for a slot, the service time of the route, how slow a target has been of late and the way decide now.

--- a/crates/bundle/src/convert.rs
+++ b/crates/bundle/src/convert.rs
@@ -89,6 +89,7 @@
             attempts: route.attempts,
             objective_ms: route.objective_ms,
             priority: route.priority,
+            bulk: route.bulk,
         }
     }
 }
@@ -113,6 +114,7 @@
             attempts: config.attempts,
             objective_ms: config.objective_ms,
             priority: config.priority,
+            bulk: config.bulk,
         })
     }
 }
--- a/crates/bundle/src/route.rs
+++ b/crates/bundle/src/route.rs
@@ -35,6 +35,8 @@
     pub objective_ms: u64,
     /// Rank in a full queue; 0 goes first.
     pub priority: u32,
+    /// Whether answers are large, so that calls stay near.
+    pub bulk: bool,
 }
 
 impl Route {
--- a/crates/bundle/src/service.rs
+++ b/crates/bundle/src/service.rs
@@ -58,7 +58,7 @@
         .iter()
         .map(|method| method.len() + NUMBER_SIZE)
         .sum();
-    texts + methods + split + 11 * NUMBER_SIZE
+    texts + methods + split + 12 * NUMBER_SIZE
 }
 
 /// Digest of a service's configuration. It covers every field, so that two services with the same
@@ -117,9 +117,10 @@
         attempts,
         objective_ms,
         priority,
+        bulk,
     } = route;
     let mut numbers = deadline_ms.to_le_bytes().to_vec();
-    numbers.push(u8::from(*repeatable));
+    numbers.extend([u8::from(*repeatable), u8::from(*bulk)]);
     numbers.extend(objective_ms.to_le_bytes());
     // The number of shares keeps their names apart from the methods.
     let shares = u32::try_from(split.len()).unwrap_or(u32::MAX);
--- a/crates/bundle/src/source.rs
+++ b/crates/bundle/src/source.rs
@@ -109,6 +109,7 @@
             attempts: route.value.attempts,
             objective_ms: route.value.objective_ms,
             priority: route.value.priority,
+            bulk: route.value.bulk,
         })
     }
 
--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use route::{Budget, Choice, NoRoute, Patience, Place, Plan, Query, Routes};
+use route::{Aim, Budget, Candidate, Choice, NoRoute, Patience, Place, Plan, Query, Routes};
 use tokio::time::{Instant, sleep, timeout_at};
 use types::{Deadline, Outcome, id};
 
@@ -21,7 +21,7 @@
 
 /// Most targets that one call is offered to. A refusal by the node beside a target costs no retry, but
 /// time.
-const OFFER_LIMIT: usize = 4;
+const OFFER_LIMIT: usize = 3;
 
 /// Caller side of the call path. Clones share one state.
 #[derive(Clone)]
@@ -134,14 +134,7 @@
         let mut failure = None;
         self.earn_retries(plan);
         while tried.len() < OFFER_LIMIT && arrived < plan.attempts {
-            let choice = self.targets.lock().choose(
-                &candidates,
-                plan.scope,
-                &self.place,
-                &tried,
-                Instant::now(),
-                &mut rand::rng(),
-            );
+            let choice = self.choose(plan, &candidates, &tried);
             let Some(choice) = choice else { break };
             if let Some(last) = &failure
                 && !(may_repeat(last, job, payload) && self.allows_retry(plan, arrived))
@@ -161,6 +154,17 @@
         Err(failure.unwrap_or_else(|| Failure::mesh("no target within reach")))
     }
 
+    fn choose(&self, plan: &Plan, candidates: &[Candidate], tried: &[id::Node]) -> Option<Choice> {
+        let mut picture = self.targets.lock();
+        let aim = Aim {
+            scope: plan.scope,
+            place: &self.place,
+            excluded: tried,
+            expected: picture.expected(&plan.route),
+        };
+        picture.choose(candidates, &aim, Instant::now(), &mut rand::rng())
+    }
+
     /// Sends the call to one target and notes what this shows about it.
     async fn attempt(
         &self,
@@ -180,11 +184,11 @@
                 ))),
             }
         };
-        self.observe(node, &result);
+        self.observe(node, &job.route, &result);
         result.map(|reply| (reply, in_flight))
     }
 
-    fn observe(&self, node: &id::Node, result: &Result<Reply, Failure>) {
+    fn observe(&self, node: &id::Node, route: &id::Route, result: &Result<Reply, Failure>) {
         let now = Instant::now();
         let mut picture = self.targets.lock();
         let load = match result {
@@ -195,7 +199,12 @@
             picture.report(node, load, now);
         }
         match result {
-            Ok(_) => picture.succeeded(node, now),
+            Ok(reply) => {
+                if reply.status.is_success() {
+                    picture.measure(node, route, reply.upstream, now);
+                }
+                picture.succeeded(node, now);
+            }
             Err(failure) if shows_broken(failure) => picture.failed(node, now),
             Err(_) => {}
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -42,7 +42,7 @@
 pub use demand::Demand;
 pub use load::Load;
 pub use patience::Patience;
-pub use picture::{Choice, Picture, Scope};
+pub use picture::{Aim, Choice, Picture, Scope};
 pub use presence::{ANNOUNCEMENT_LIFE, Presence, Probe, Stage, Verdict};
 pub use routes::{NoRoute, Plan, Query, Routes, is_plain_path};
 pub use succession::{Notice, Standing, Succession};
--- a/crates/route/src/picture.rs
+++ b/crates/route/src/picture.rs
@@ -30,6 +30,32 @@
 /// Time after which a target without calls is forgotten.
 const FORGET: Duration = Duration::from_mins(1);
 
+/// Cost of a call to another failure domain, in seconds: its delay, and the price of its bytes.
+const DOMAIN_COST: f64 = 0.005;
+
+/// Cost of a call to another region, in seconds. One way takes 30 ms.
+const REGION_COST: f64 = 0.07;
+
+/// Cost of a call with a large answer to another failure domain, in seconds. The price of its bytes is
+/// near the worth of the answer.
+const BULK_DOMAIN_COST: f64 = 0.3;
+
+/// Slowness from which a target does not keep a call in its tier.
+const SLOW: f64 = 2.5;
+
+/// Share of a new sample in the averages of service times.
+const SMOOTHING: f64 = 0.15;
+
+/// Time in which what is known of a target's slowness loses most of its weight. A target that gets no
+/// calls for being slow is tried again then.
+const SLOWNESS_LIFE: Duration = Duration::from_secs(3);
+
+/// Routes whose service times are remembered.
+const ROUTE_LIMIT: usize = 4096;
+
+/// Difference between expected times that does not matter, in seconds.
+const INDIFFERENCE: f64 = 0.01;
+
 /// How far a call may go and how many targets it may choose from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Scope {
@@ -37,6 +63,21 @@
     pub reach: Tier,
     /// Targets that one node uses in each tier.
     pub subset: usize,
+    /// Whether answers are large, so that calls stay in the region when it has a target.
+    pub bulk: bool,
+}
+
+/// What a target is chosen for.
+#[derive(Clone, Copy, Debug)]
+pub struct Aim<'a> {
+    /// How far the call may go.
+    pub scope: Scope,
+    /// Where the call begins.
+    pub place: &'a Place,
+    /// Targets that must not be chosen.
+    pub excluded: &'a [id::Node],
+    /// Time that a target usually takes for such a call; zero when it is not known.
+    pub expected: Duration,
 }
 
 /// Chosen target and the reason.
@@ -54,6 +95,8 @@
 #[derive(Debug, Default)]
 pub struct Picture {
     entries: HashMap<id::Node, Entry>,
+    /// Average service time of each route, in seconds.
+    routes: HashMap<id::Route, f64>,
     swept: Option<Instant>,
 }
 
@@ -65,6 +108,8 @@
     report: Option<(Load, Instant)>,
     failures: u32,
     avoid_until: Option<Instant>,
+    /// Service time relative to other targets, and when it was last measured.
+    slowness: Option<(f64, Instant)>,
 }
 
 impl Entry {
@@ -76,9 +121,23 @@
             report: None,
             failures: 0,
             avoid_until: None,
+            slowness: None,
         }
     }
 
+    /// Service time relative to other targets; 1 for one that is not known.
+    fn slowness(&self, now: Instant) -> f64 {
+        self.slowness.map_or(1.0, |(slowness, measured)| {
+            let age = now.saturating_duration_since(measured).as_secs_f64();
+            1.0 + (slowness - 1.0) * (-age / SLOWNESS_LIFE.as_secs_f64()).exp()
+        })
+    }
+
+    fn measure(&mut self, sample: f64, now: Instant) {
+        let before = self.slowness(now);
+        self.slowness = Some((before + SMOOTHING * (sample - before), now));
+    }
+
     fn report(&self, now: Instant) -> Option<Load> {
         let (load, received) = self.report?;
         (now.saturating_duration_since(received) < REPORT_LIFE).then_some(load)
@@ -118,15 +177,14 @@
 
     /// Chooses a target for a call.
     ///
-    /// The nearest tier with a target below 80% of its slots is used; inside it, two targets are
-    /// drawn and the less loaded one is taken. Targets that failed lately are used only when no
-    /// other is left, `excluded` ones never.
+    /// The nearest tier of the region with a target that is below 80% of its slots and not slow is used;
+    /// two targets are drawn and the better one is taken. When there is none, the target with the
+    /// shortest expected time of all tiers is used, the way included. Targets that failed lately are used
+    /// only when no other is left, excluded ones never.
     pub fn choose<R>(
         &mut self,
         candidates: &[Candidate],
-        scope: Scope,
-        place: &Place,
-        excluded: &[id::Node],
+        aim: &Aim<'_>,
         now: Instant,
         rng: &mut R,
     ) -> Option<Choice>
@@ -134,36 +192,94 @@
         R: Rng + ?Sized,
     {
         self.sweep(now);
-        let tiers = subsets(candidates, scope, place);
+        let tiers = subsets(candidates, aim.scope, aim.place);
         for candidate in tiers.iter().flat_map(|(_, subset)| subset) {
             self.entry(&candidate.node, now).last_used = now;
         }
-        let usable = |candidate: &Candidate| !excluded.contains(&candidate.node);
+        let usable = |candidate: &Candidate| !aim.excluded.contains(&candidate.node);
         let trusted = |candidate: &Candidate| {
-            usable(candidate)
-                && !self
-                    .get(candidate)
-                    .is_some_and(|entry| entry.is_avoided(now))
+            let entry = self.get(candidate);
+            usable(candidate) && !entry.is_some_and(|entry| entry.is_avoided(now))
         };
-        let free = |candidate: &Candidate| self.load(candidate, now) < SPILL;
-        for (tier, subset) in &tiers {
-            if subset
-                .iter()
-                .any(|candidate| trusted(candidate) && free(candidate))
-            {
-                return self.draw(*tier, subset, trusted, "least loaded of two", now, rng);
+        let has_room = |candidate: &Candidate| {
+            self.load(candidate, now) < SPILL && self.slowness(candidate, now) < SLOW
+        };
+        let near = tiers.iter().filter(|(tier, _)| *tier <= Tier::Region);
+        for (tier, subset) in near {
+            let pool: Vec<_> = select(subset, trusted).collect();
+            if pool.iter().any(|candidate| has_room(candidate)) {
+                return self.draw(*tier, &pool, aim, "nearest with room", now, rng);
             }
         }
-        for (tier, subset) in &tiers {
-            if subset.iter().any(|candidate| trusted(candidate)) {
-                return self.draw(*tier, subset, trusted, "all targets busy", now, rng);
-            }
+        let all = tiers
+            .iter()
+            .flat_map(|(tier, subset)| select(subset, trusted).map(|candidate| (*tier, candidate)));
+        if let Some(choice) = self.quickest(all, aim, now, rng) {
+            return Some(choice);
         }
         tiers.iter().find_map(|(tier, subset)| {
-            self.draw(*tier, subset, usable, "all targets failed lately", now, rng)
+            let pool: Vec<_> = select(subset, usable).collect();
+            self.draw(*tier, &pool, aim, "all targets failed lately", now, rng)
         })
     }
 
+    /// Takes a target whose expected time is next to the shortest one.
+    fn quickest<'a, I, R>(
+        &self,
+        targets: I,
+        aim: &Aim<'_>,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<Choice>
+    where
+        I: Iterator<Item = (Tier, &'a Candidate)>,
+        R: Rng + ?Sized,
+    {
+        let timed: Vec<_> = targets
+            .map(|(tier, candidate)| {
+                let time = distance(tier, aim.scope.bulk) + self.time(candidate, aim, now);
+                (time, tier, candidate)
+            })
+            .collect();
+        let shortest = timed
+            .iter()
+            .map(|(time, ..)| *time)
+            .min_by(f64::total_cmp)?;
+        let near: Vec<_> = timed
+            .iter()
+            .filter(|(time, ..)| *time <= shortest + INDIFFERENCE)
+            .collect();
+        let (_, tier, candidate) = near.get(rng.random_range(0..near.len()))?;
+        Some(Choice {
+            candidate: (*candidate).clone(),
+            tier: *tier,
+            reason: "all targets busy",
+        })
+    }
+
+    /// Average time that targets take for calls of a route; zero when it is not known.
+    #[must_use]
+    pub fn expected(&self, route: &id::Route) -> Duration {
+        let seconds = self.routes.get(route).copied().unwrap_or_default();
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
+
+    /// Notes how long a target took for a call of a route.
+    pub fn measure(&mut self, node: &id::Node, route: &id::Route, took: Duration, now: Instant) {
+        let sample = took.as_secs_f64();
+        if self.routes.len() >= ROUTE_LIMIT && !self.routes.contains_key(route) {
+            self.routes.clear();
+        }
+        let average = self.routes.entry(route.clone()).or_insert(sample);
+        let ratio = if *average > 0.0 {
+            sample / *average
+        } else {
+            1.0
+        };
+        *average += SMOOTHING * (sample - *average);
+        self.entry(node, now).measure(ratio, now);
+    }
+
     /// Counts a call that was sent to `node`.
     pub fn started(&mut self, node: &id::Node, now: Instant) {
         let entry = self.entry(node, now);
@@ -208,30 +324,26 @@
         self.entries.get(node).map_or(0, |entry| entry.in_flight)
     }
 
-    /// Draws two targets that pass `allowed` and returns the less loaded one.
-    fn draw<R, F>(
+    /// Draws two targets and returns the one with the shorter expected time.
+    fn draw<R>(
         &self,
         tier: Tier,
-        subset: &[&Candidate],
-        allowed: F,
+        pool: &[&Candidate],
+        aim: &Aim<'_>,
         reason: &'static str,
         now: Instant,
         rng: &mut R,
     ) -> Option<Choice>
     where
         R: Rng + ?Sized,
-        F: Fn(&Candidate) -> bool,
     {
-        let pool: Vec<_> = subset
-            .iter()
-            .filter(|candidate| allowed(candidate))
-            .collect();
+        let score = |candidate: &Candidate| self.score(candidate, aim, now);
         let candidate = index::sample(rng, pool.len(), pool.len().min(2))
             .iter()
             .map(|index| pool[index])
-            .min_by(|a, b| self.score(a, now).total_cmp(&self.score(b, now)))?;
+            .min_by(|a, b| score(a).total_cmp(&score(b)))?;
         Some(Choice {
-            candidate: (*candidate).clone(),
+            candidate: candidate.clone(),
             tier,
             reason,
         })
@@ -241,15 +353,34 @@
         self.entries.get(&candidate.node)
     }
 
-    /// Load that one more call would give, raised for a target that is new to this node. Only the draw
-    /// uses it: a node that has just started knows no target for long, and its calls must not spill to
-    /// other regions for that.
-    fn score(&self, candidate: &Candidate, now: Instant) -> f64 {
+    fn slowness(&self, candidate: &Candidate, now: Instant) -> f64 {
+        self.get(candidate).map_or(1.0, |entry| entry.slowness(now))
+    }
+
+    /// Load that one more call would give, raised for a target that is slow or new to this node. Only the
+    /// draw uses it: a node that has just started knows no target for long, and its calls must not spill
+    /// to other regions for that.
+    fn score(&self, candidate: &Candidate, aim: &Aim<'_>, now: Instant) -> f64 {
         self.get(candidate).map_or(0.0, |entry| {
-            entry.load(candidate, 1, now) / entry.weight(now)
+            let load = entry.load(candidate, 1, now) / entry.weight(now);
+            let time = self.time(candidate, aim, now);
+            if time > 0.0 {
+                time * (1.0 + load)
+            } else {
+                load
+            }
         })
     }
 
+    /// Expected time of a call at a target, in seconds: the wait for a slot and the service.
+    fn time(&self, candidate: &Candidate, aim: &Aim<'_>, now: Instant) -> f64 {
+        let slowness = self.slowness(candidate, now);
+        let load = self
+            .get(candidate)
+            .map_or(0.0, |entry| entry.load(candidate, 1, now));
+        aim.expected.as_secs_f64() * slowness * load.max(1.0)
+    }
+
     fn load(&self, candidate: &Candidate, now: Instant) -> f64 {
         self.get(candidate)
             .map_or(0.0, |entry| entry.load(candidate, 0, now))
@@ -274,6 +405,24 @@
     }
 }
 
+/// Cost of the way to a tier, in seconds.
+const fn distance(tier: Tier, bulk: bool) -> f64 {
+    match (tier, bulk) {
+        (Tier::Domain, _) => 0.0,
+        (Tier::Region, false) => DOMAIN_COST,
+        (Tier::Region, true) => BULK_DOMAIN_COST,
+        (Tier::Any, _) => REGION_COST,
+    }
+}
+
+fn select<'a, F>(subset: &'a [&'a Candidate], allowed: F) -> impl Iterator<Item = &'a Candidate>
+where
+    F: Fn(&Candidate) -> bool,
+{
+    let members = subset.iter().copied();
+    members.filter(move |candidate| allowed(candidate))
+}
+
 /// The candidates of each tier within reach, reduced to the subset that this node uses.
 ///
 /// The subset is taken by rendezvous hash, so it changes little when targets come and go.
@@ -284,7 +433,13 @@
 ) -> Vec<(Tier, Vec<&'a Candidate>)> {
     let seed = xxh3_64_with_seed(place.node.as_str().as_bytes(), 0);
     let hash = |candidate: &&Candidate| xxh3_64_with_seed(candidate.node.as_str().as_bytes(), seed);
-    let within = Tier::ALL.into_iter().filter(|tier| *tier <= scope.reach);
+    let is_near = |candidate: &Candidate| Tier::of(candidate, place) <= Tier::Region;
+    let reach = if scope.bulk && candidates.iter().any(is_near) {
+        scope.reach.min(Tier::Region)
+    } else {
+        scope.reach
+    };
+    let within = Tier::ALL.into_iter().filter(|tier| *tier <= reach);
     within
         .map(|tier| {
             let mut members: Vec<_> = candidates
--- a/crates/route/src/routes.rs
+++ b/crates/route/src/routes.rs
@@ -234,6 +234,7 @@
                 Reach::Any => Tier::Any,
             },
             subset: callee.subset as usize,
+            bulk: route.bulk,
         },
         attempts: match route.attempts {
             0 => callee.attempts.max(1),
