--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -7,7 +7,6 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use route::Admission;
 use tokio::time::{Instant, timeout_at};
 use types::{Deadline, Fault, Outcome};
 
@@ -127,7 +126,9 @@
             SendError::Declined { reason, overloaded } => {
                 self.permit.take_back();
                 if overloaded {
-                    self.local.gate.update(shed);
+                    self.local
+                        .gate
+                        .update(|admission| admission.shed(Instant::now()));
                 }
                 let failure = Failure::service(&self.job.service, reason).with_arrival();
                 failure.with_load(self.local.gate.load())
@@ -234,14 +235,6 @@
     tokio::spawn(async move { local.upstream.release(connection).await });
 }
 
-/// Lowers the limit, unless slots were free: then the upstream refuses for another reason than its load.
-fn shed(admission: &mut Admission) {
-    let now = Instant::now();
-    if admission.is_nearly_full(now) {
-        admission.shed(now);
-    }
-}
-
 /// Answer of a keyed call on its way into the store.
 struct Recording {
     once: Arc<Once>,
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -276,12 +276,6 @@
         self.in_use
     }
 
-    /// Whether most of the slots are in use, so that a refusal by the upstream can be due to its load.
-    #[must_use]
-    pub fn is_nearly_full(&self, now: Instant) -> bool {
-        self.in_use * 4 >= self.limit.get(now) * 3
-    }
-
     /// Marks until when the upstream says that it is slow after its start. Its slots are all of use.
     pub const fn set_cold_until(&mut self, until: Instant) {
         self.limit.set_cold_until(until);
