A restarted node resumes its upstream from its own entry; fewer watches

Cause of the slow recovery: a restarted node knew its target only after the target's next heartbeat, up to 1.5 s later, though its own entry was still in the store. The entry names the start of the upstream now, the stopped node leaves it to its lease, and the new process takes it up at once.

Nodes without an upstream write no entry, entries are watched at most every 0.8 s, and the configuration is read anew after a change in place of watching every version of a storm.

--- a/crates/call/src/announcement.rs
+++ b/crates/call/src/announcement.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use route::Stage;
-use types::{id, size};
+use types::{Timestamp, id, size};
 
 /// What an upstream says about itself to the node beside it, every second.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,6 +22,8 @@
     /// Start of the upstream, so that a new one at the same address is told apart; empty when the
     /// upstream does not say.
     pub instance: String,
+    /// When that start began, by the upstream's clock; zero when the upstream does not say.
+    pub started: Timestamp,
     /// Time for which it stays slow after its start; `None` when the upstream does not say.
     pub cold_left: Option<Duration>,
 }
@@ -43,6 +45,7 @@
             state: Stage::Ready,
             health: String::new(),
             instance: String::new(),
+            started: Timestamp::default(),
             cold_left: None,
         }
     }
--- a/crates/directory/src/backend.rs
+++ b/crates/directory/src/backend.rs
@@ -108,8 +108,6 @@
     pub grant: Call<Duration, Lease>,
     /// Renews a lease.
     pub renew: Call<LeaseId, ()>,
-    /// Ends a lease; its keys are removed.
-    pub revoke: Call<LeaseId, ()>,
     /// Writes a key under a lease if it still has the revision, 0 for a key that does not exist. Without
     /// the condition, a write whose answer was lost could replace a later one.
     pub put: Call<(Item, LeaseId, Revision), Revision>,
--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use member::{Invalid, Record};
 use schema::{codec, directory as message};
 use thiserror::Error;
@@ -12,16 +14,42 @@
     /// Membership record of the node and the upstream beside it.
     pub record: Record,
     /// Start of the upstream that has taken its leave last.
-    pub departed: Option<Departed>,
+    pub departed: Option<UpstreamStart>,
+    /// Start of the upstream that gets the calls.
+    pub current: Option<UpstreamStart>,
 }
 
-/// Start of an upstream that has taken its leave.
+/// One start of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Departed {
+pub struct UpstreamStart {
     /// Identity of the start.
     pub instance: String,
-    /// When it began.
+    /// When it began, by the upstream's clock.
     pub started: Timestamp,
+    /// Address of its HTTP port; `None` when it is not known.
+    pub address: Option<SocketAddr>,
+}
+
+impl From<&UpstreamStart> for message::UpstreamStart {
+    fn from(start: &UpstreamStart) -> Self {
+        Self {
+            instance: start.instance.clone(),
+            started_ms: start.started.get(),
+            address: start
+                .address
+                .map_or_else(String::new, |address| address.to_string()),
+        }
+    }
+}
+
+impl From<message::UpstreamStart> for UpstreamStart {
+    fn from(start: message::UpstreamStart) -> Self {
+        Self {
+            instance: start.instance,
+            started: Timestamp::new(start.started_ms),
+            address: start.address.parse().ok(),
+        }
+    }
 }
 
 /// Reason why a value is not an entry.
@@ -37,11 +65,10 @@
 
 impl Entry {
     pub(crate) fn encode(&self) -> Result<Vec<u8>, codec::Error> {
-        let departed = self.departed.as_ref();
         let message = message::Entry {
             record: Some(self.record.to_message(0)),
-            departed: departed.map_or_else(String::new, |departed| departed.instance.clone()),
-            departed_started_ms: departed.map_or(0, |departed| departed.started.get()),
+            departed: self.departed.as_ref().map(Into::into),
+            current: self.current.as_ref().map(Into::into),
         };
         let mut bytes = vec![FORMAT];
         bytes.extend(codec::encode(&message)?);
@@ -53,13 +80,10 @@
             return Err(Unreadable::Format);
         };
         let message: message::Entry = codec::decode(content)?;
-        let departed = Departed {
-            instance: message.departed,
-            started: Timestamp::new(message.departed_started_ms),
-        };
         Ok(Self {
             record: Record::try_from(&message.record.unwrap_or_default())?,
-            departed: Some(departed).filter(|departed| !departed.instance.is_empty()),
+            departed: message.departed.map(Into::into),
+            current: message.current.map(Into::into),
         })
     }
 }
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -25,6 +25,9 @@
     /// Shortest time between the starts of two watches. Changes that come close together then cost one
     /// call.
     pub interval: Duration,
+    /// Whether the prefix is read anew after a change, until it rests. A watch brings every value that a
+    /// key has taken meanwhile, which is many large ones while a configuration changes often.
+    pub rereads: bool,
 }
 
 /// Waits after failures, with a random part so that nodes do not ask in step.
@@ -46,14 +49,15 @@
 }
 
 /// Follows a prefix until the future is dropped: reads it once, then waits for changes, and reads it
-/// anew when the store has forgotten its history.
+/// anew when the store has forgotten its history. `apply` says whether an update brought anything new.
 pub async fn follow<F>(backend: &Backend, prefix: &str, pace: Pace, mut apply: F)
 where
-    F: FnMut(Update),
+    F: FnMut(Update) -> bool,
 {
     let mut backoff = Backoff::new();
     let mut reached: Option<Revision> = None;
     let mut available = true;
+    let mut rests = true;
     loop {
         let next = Instant::now() + pace.interval;
         let result = match reached {
@@ -67,10 +71,10 @@
                 }
                 available = true;
                 backoff.reset();
-                reached = Some(revision);
-                if let Some(update) = update {
-                    apply(update);
-                }
+                let was_watch = reached.is_some();
+                let is_news = update.is_some_and(&mut apply);
+                rests = !is_news || rests && !was_watch;
+                reached = (rests || !pace.rereads).then_some(revision);
                 sleep_until(next).await;
             }
             Err(Error::Compacted) => {
--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use types::{Deadline, id, size};
 
-use crate::entry::{Departed, Entry};
+use crate::entry::{Entry, UpstreamStart};
 use crate::follow::follow;
 use crate::publish;
 use crate::{Backend, Change, Item, Pace, Replica, Update};
@@ -19,6 +19,19 @@
     tasks: Arc<Tasks>,
 }
 
+/// Upstream beside a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Service that it runs.
+    pub service: id::Service,
+    /// Calls that it runs at the same time.
+    pub slots: size::Slots,
+    /// Whether it gets calls.
+    pub state: State,
+    /// The start that gets the calls.
+    pub start: UpstreamStart,
+}
+
 pub(crate) struct Shared {
     pub(crate) backend: Arc<Backend>,
     pub(crate) prefix: String,
@@ -35,13 +48,13 @@
 
 struct Tasks {
     follow: JoinHandle<()>,
-    publish: Mutex<Option<JoinHandle<()>>>,
-    stop: watch::Sender<bool>,
+    publish: JoinHandle<()>,
 }
 
 impl Drop for Tasks {
     fn drop(&mut self) {
         self.follow.abort();
+        self.publish.abort();
     }
 }
 
@@ -57,6 +70,7 @@
             own: watch::Sender::new(Entry {
                 record: me,
                 departed: None,
+                current: None,
             }),
             missing: Notify::new(),
             written: watch::Sender::new(None),
@@ -65,16 +79,14 @@
         });
         let following = Arc::clone(&shared);
         let follow = tokio::spawn(async move {
-            let apply = |update| following.apply(update);
+            let apply = |update| {
+                following.apply(update);
+                true
+            };
             follow(&following.backend, &following.prefix, pace, apply).await;
         });
-        let stop = watch::Sender::new(false);
-        let publish = tokio::spawn(publish::run(Arc::clone(&shared), stop.subscribe()));
-        let tasks = Arc::new(Tasks {
-            follow,
-            publish: Mutex::new(Some(publish)),
-            stop,
-        });
+        let publish = tokio::spawn(publish::run(Arc::clone(&shared)));
+        let tasks = Arc::new(Tasks { follow, publish });
         Self { shared, tasks }
     }
 
@@ -109,56 +121,38 @@
         others.count() + 1
     }
 
-    /// Start of an upstream that had taken its leave from an earlier process of this node. Waits until
-    /// the store has been read.
-    pub async fn departed(&self) -> Option<Departed> {
+    /// Entry that an earlier process of this node has left. Waits until the store has been read.
+    pub async fn earlier(&self) -> Option<Entry> {
         self.shared.wait_earlier().await;
-        let earlier = self.shared.earlier.borrow();
-        earlier.as_ref()?.as_ref()?.departed.clone()
+        self.shared.earlier.borrow().clone().flatten()
     }
 
     /// Changes what the others see of the upstream beside this node.
-    pub fn set_upstream(&self, upstream: Option<(id::Service, size::Slots, State)>) {
+    pub fn set_upstream(&self, upstream: Option<Upstream>) {
         self.change(|entry| {
             let record = &mut entry.record;
-            match upstream {
-                Some((service, slots, state)) => {
-                    record.service = Some(service);
-                    record.slots = slots;
-                    record.state = state;
-                }
-                None => {
-                    record.service = None;
-                    record.state = State::Starting;
-                }
+            if let Some(upstream) = upstream {
+                record.service = Some(upstream.service);
+                record.slots = upstream.slots;
+                record.state = upstream.state;
+                entry.current = Some(upstream.start);
+            } else {
+                record.service = None;
+                record.state = State::Starting;
+                entry.current = None;
             }
         });
     }
 
     /// Notes the start of the upstream that has taken its leave.
-    pub fn set_departed(&self, departed: Departed) {
+    pub fn set_departed(&self, departed: UpstreamStart) {
         self.change(|entry| entry.departed = Some(departed));
     }
 
-    /// Takes leave: tells the others that this node takes no more calls and removes the entry. Gives up
-    /// at the deadline; the lease then runs out.
-    pub async fn close(self, deadline: Deadline) {
-        self.tasks.stop.send_replace(true);
-        let publish = {
-            let mut held = self
-                .tasks
-                .publish
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            held.take()
-        };
-        if let Some(publish) = publish
-            && tokio::time::timeout_at(deadline.instant(), publish)
-                .await
-                .is_err()
-        {
-            log::warn!("entry of this node is left to its lease");
-        }
+    /// Ends the tasks. The entry stays until its lease runs out, so that a process which starts again
+    /// soon finds it.
+    pub fn close(self) {
+        self.tasks.publish.abort();
     }
 
     /// Waits until the store holds the own entry as it is now; false when it does not by the deadline.
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -39,8 +39,8 @@
 mod versions;
 
 pub use backend::{Backend, Change, Error, Item, Lease, LeaseId, Listing, Revision};
-pub use entry::{Departed, Entry};
+pub use entry::{Entry, UpstreamStart};
 pub use follow::{Pace, Update, follow};
-pub use handle::Directory;
+pub use handle::{Directory, Upstream};
 pub use replica::Replica;
 pub use versions::Versions;
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -17,8 +17,8 @@
 /// Renewals within the time to live. Two may be lost without the lease running out.
 const RENEWALS: u32 = 3;
 
-/// Runs until a stop is asked for, then removes the entry.
-pub(crate) async fn run(shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
+/// Runs until the task is dropped.
+pub(crate) async fn run(shared: Arc<Shared>) {
     let mut keeper = Keeper {
         own: shared.own.subscribe(),
         shared,
@@ -26,12 +26,7 @@
         renew_at: Instant::now(),
         held: Revision::default(),
     };
-    tokio::select! {
-        () = keeper.keep() => {}
-        // The sender is dropped only with the whole directory.
-        _ = stop.wait_for(|stop| *stop) => {}
-    }
-    keeper.remove().await;
+    keeper.keep().await;
 }
 
 struct Keeper {
@@ -47,6 +42,9 @@
     async fn keep(&mut self) {
         // The entry of an earlier process must be read before it is replaced.
         self.shared.wait_earlier().await;
+        // A node without an upstream has nothing to tell, and each write wakes all nodes.
+        // The sender lives in `shared`, so the wait cannot fail.
+        let _ = self.own.wait_for(|own| own.record.service.is_some()).await;
         let mut backoff = Backoff::new();
         let mut written = false;
         loop {
@@ -126,12 +124,4 @@
         );
         Ok(())
     }
-
-    async fn remove(&mut self) {
-        if let Some(lease) = self.lease.take()
-            && let Err(error) = (self.shared.backend.revoke)(lease.id).await
-        {
-            log::warn!(reason:% = error; "own entry is left to its lease");
-        }
-    }
 }
--- a/crates/directory/src/versions.rs
+++ b/crates/directory/src/versions.rs
@@ -36,9 +36,8 @@
         let (sender, key) = (current.clone(), key.to_owned());
         let follow = tokio::spawn(async move {
             let apply = |update| {
-                if let Some(item) = newest(update, &key) {
-                    apply(&sender, &item, &decode);
-                }
+                let item = newest(update, &key);
+                item.is_some_and(|item| apply(&sender, &item, &decode))
             };
             follow(&backend, &key, pace, apply).await;
         });
@@ -74,7 +73,8 @@
     items.into_iter().rfind(|item| item.key == key)
 }
 
-fn apply<C, D>(current: &watch::Sender<Option<(Version, Arc<C>)>>, item: &Item, decode: &D)
+/// Puts a version in force; false when it is not newer than the one that is.
+fn apply<C, D>(current: &watch::Sender<Option<(Version, Arc<C>)>>, item: &Item, decode: &D) -> bool
 where
     D: Fn(&[u8]) -> Result<(Version, C), String>,
 {
@@ -82,15 +82,16 @@
         Ok(decoded) => decoded,
         Err(reason) => {
             log::error!(key:% = item.key, reason:%; "configuration is left out");
-            return;
+            return false;
         }
     };
     let held = current.borrow().as_ref().map(|(held, _)| *held);
     if held.is_some_and(|held| version <= held) {
         log::debug!(version:%; "configuration is not newer");
-        return;
+        return false;
     }
     let before = held.unwrap_or(Version::NONE);
     log::info!(version:%, before:%, bytes = item.value.len(); "version in force");
     current.send_replace(Some((version, Arc::new(config))));
+    true
 }
--- a/crates/route/src/succession.rs
+++ b/crates/route/src/succession.rs
@@ -98,6 +98,27 @@
         }
     }
 
+    /// Takes up a start that an earlier process of the node knew; announcements of it may be new.
+    pub fn resume(&mut self, instance: &str, started: Timestamp, now: Instant) {
+        if self.current.is_none() && !self.has_departed(instance, started) {
+            self.current = Some(Current {
+                instance: instance.to_owned(),
+                started,
+                sequence: 0,
+                draining: false,
+                heard: now,
+            });
+        }
+    }
+
+    /// Whether this start gets the calls.
+    #[must_use]
+    pub fn is_current(&self, instance: &str, started: Timestamp) -> bool {
+        self.current.as_ref().is_some_and(|current| {
+            current.instance == instance && current.started == started && !current.draining
+        })
+    }
+
     /// Notes that a start has taken its leave; `started` may be left out by the upstream. Returns the
     /// time when that start began, when it is the one that gets the calls.
     pub fn depart(&mut self, instance: &str, started: Option<Timestamp>) -> Option<Timestamp> {
--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use call::Announcement;
-use directory::Departed;
+use directory::UpstreamStart;
 use front::{Aborted, Body, whole};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -101,7 +101,11 @@
 
 /// Keeps a departure in the store, for the case that this process ends before the upstream does.
 async fn record(node: &Node, instance: String, started: Timestamp) {
-    node.directory.set_departed(Departed { instance, started });
+    node.directory.set_departed(UpstreamStart {
+        instance,
+        started,
+        address: None,
+    });
     if !node.directory.flush(Deadline::after(RECORD_LIMIT)).await {
         log::warn!("departure of the upstream is not in the store yet");
     }
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -50,7 +50,8 @@
         node:% = node.place.node, region:% = node.place.region, domain:% = node.place.domain,
         version = env!("CARGO_PKG_VERSION"); "started"
     );
-    tokio::spawn(restore(Arc::clone(&node)));
+    let resuming = Arc::clone(&node);
+    tokio::spawn(async move { resuming.resume().await });
     tokio::spawn(serve_peers(ports.peers, Arc::clone(&node)));
     let limits = Arc::clone(&node);
     let server = Arc::new(Server::new(move || caller_limits(&limits)));
@@ -108,14 +109,6 @@
     }
 }
 
-/// Takes up the departure that an earlier process of this node has acknowledged.
-async fn restore(node: Arc<Node>) {
-    if let Some(departed) = node.directory.departed().await {
-        log::info!(instance:% = departed.instance; "departure known from an earlier process");
-        node.depart(&departed.instance, Some(departed.started));
-    }
-}
-
 async fn serve_ready(listener: TcpListener, node: Arc<Node>) {
     let server = Arc::new(Server::new(other_limits));
     let handle = move |_| {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -5,26 +5,28 @@
 use arc_swap::ArcSwap;
 use bundle::Bundle;
 use call::{Accounts, Announcement, Caller, Mesh, Options, Target};
-use directory::{Directory, Pace, Versions};
+use directory::{Directory, Pace, Upstream, UpstreamStart, Versions};
 use member::{Record, State};
 use route::{Notice, Place, Stage, Standing, Succession};
 use settings::Settings;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use types::{Incarnation, Timestamp};
+use types::{Incarnation, Timestamp, id, size};
 
 use crate::{Adapter, Configuration, Error};
 
-/// Shortest time between two watches of the configuration. It is far below the time in which a version
-/// must be in force.
+/// Shortest time between two looks at the configuration: half of the time in which a version must be in
+/// force.
 const VERSION_PACE: Pace = Pace {
-    interval: Duration::from_millis(500),
+    interval: Duration::from_millis(1200),
+    rereads: true,
 };
 
 /// Shortest time between two watches of the entries. Calls to a target that has left meanwhile are
 /// refused by the node beside it and go elsewhere.
 const ENTRY_PACE: Pace = Pace {
-    interval: Duration::from_millis(400),
+    interval: Duration::from_millis(800),
+    rereads: false,
 };
 
 /// Time after which an announcement lapses. Announcements may come seconds late; an upstream that died
@@ -145,6 +147,40 @@
         self.lock_succession().depart(instance, started)
     }
 
+    /// Takes up what an earlier process of this node knew about its upstream: the start that has taken
+    /// its leave, and the one that got the calls. Waits until the store has been read.
+    pub async fn resume(&self) {
+        let Some(earlier) = self.directory.earlier().await else {
+            return;
+        };
+        if let Some(departed) = earlier.departed {
+            log::info!(instance:% = departed.instance; "departure known from an earlier process");
+            self.depart(&departed.instance, Some(departed.started));
+        }
+        if let (Some(current), Some(service)) = (earlier.current, earlier.record.service) {
+            self.resume_upstream(current, service, earlier.record.slots);
+        }
+    }
+
+    fn resume_upstream(&self, start: UpstreamStart, service: id::Service, slots: size::Slots) {
+        let Some(address) = start.address else {
+            return;
+        };
+        let mut succession = self.lock_succession();
+        succession.resume(&start.instance, start.started, Instant::now());
+        // An announcement may have come before.
+        if self.target.load().is_some() || !succession.is_current(&start.instance, start.started) {
+            return;
+        }
+        log::info!(instance:% = start.instance; "upstream known from an earlier process");
+        let connections = size::Connections::new(slots.get().saturating_mul(2));
+        let mut announcement = Announcement::new(service, address, slots, connections);
+        announcement.instance = start.instance;
+        announcement.started = start.started;
+        announcement.cold_left = Some(Duration::ZERO);
+        self.target.announce(announcement);
+    }
+
     /// Decides on an announcement of the upstream.
     pub fn announce(&self, notice: &Notice) -> Standing {
         self.lock_succession().announce(notice, Instant::now())
@@ -213,8 +249,16 @@
             ),
             None => log::info!("no upstream"),
         }
-        let upstream = upstream.map(|found| (found.service, found.slots, state(found.state)));
-        directory.set_upstream(upstream);
+        directory.set_upstream(upstream.map(|found| Upstream {
+            service: found.service,
+            slots: found.slots,
+            state: state(found.state),
+            start: UpstreamStart {
+                instance: found.instance,
+                started: found.started,
+                address: Some(found.address),
+            },
+        }));
         if announced.changed().await.is_err() {
             return;
         }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -13,11 +13,8 @@
 /// learn about it within two seconds.
 const FAREWELL: Duration = Duration::from_millis(2600);
 
-/// Part of the grace time that is left for the end of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-
-/// Longest time for removing the entry from the store.
-const REMOVAL_LIMIT: Duration = Duration::from_millis(300);
+/// Part of the grace time that is left for the end of the process, which may have little processor time.
+const EXIT_MARGIN: Duration = Duration::from_millis(800);
 
 /// Ends the work of a node within the time until the process is killed.
 ///
@@ -39,8 +36,7 @@
         let exchanges = callers.exchanges();
         log::warn!(exchanges, target = running; "grace time is over with calls in flight");
     }
-    let removal = Deadline::after(REMOVAL_LIMIT);
-    node.directory.clone().close(removal).await;
+    node.directory.clone().close();
     log::info!(took_ms = start.elapsed().as_millis() as u64; "stopped");
     log::logger().flush();
 }
