A stopping node answers on new and kept connections

Cause: the HTTP library closes a connection on which nothing was read when a graceful shutdown is asked for, so a node that was stopping closed every new connection without an answer, and idle ones while a request was on its way. Connections now stay open during the stop and end after their next answer. Own answers have a length again; the wrapper of the body hid it.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response};
-use http_body_util::BodyExt;
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,7 +13,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::activity::{Activity, Exchange};
+use crate::activity::Activity;
+use crate::body::Held;
 use crate::{Aborted, Body};
 
 /// Connections that may wait to be accepted. When the queue is full, the opening packet of a further
@@ -109,7 +109,8 @@
         }
     }
 
-    /// Ends connections after the answer that they carry; idle ones end at once.
+    /// Ends connections after their next answer. Idle ones stay open until then: a request may be on its
+    /// way, and closing them would lose it.
     pub fn drain(&self) {
         self.draining.send_replace(true);
     }
@@ -145,7 +146,14 @@
         let service = service_fn(|request| {
             let held = (activity.start(), Count::new(&self.exchanges));
             let answer = handler(request);
-            async move { answer.await.map(|response| hold(response, held)) }
+            async move {
+                let mut response = answer.await?;
+                if *self.draining.borrow() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                Ok::<_, Aborted>(response.map(|body| Held::new(body, held)))
+            }
         });
         let mut connection = pin!(
             http1::Builder::new()
@@ -154,7 +162,6 @@
                 .max_buf_size(limits.header_bytes.max(BUFFER_FLOOR))
                 .serve_connection(TokioIo::new(socket), service)
         );
-        let mut draining = self.draining.subscribe();
         let mut ending = false;
         loop {
             let deadline = activity.deadline((self.limits)().idle, EXCHANGE_LIMIT);
@@ -165,11 +172,6 @@
                     }
                     return;
                 }
-                // The sender lives in `self`, so the wait cannot fail.
-                _ = draining.wait_for(|draining| *draining), if !ending => {
-                    ending = true;
-                    connection.as_mut().graceful_shutdown();
-                }
                 () = sleep_until(deadline.instant()) => {
                     let now = Instant::now();
                     let latest = activity.deadline((self.limits)().idle, EXCHANGE_LIMIT);
@@ -187,17 +189,6 @@
     }
 }
 
-/// Keeps the exchange open until the body has ended or was dropped.
-fn hold(response: Response<Body>, held: (Exchange, Count)) -> Response<Body> {
-    response.map(|body| {
-        body.map_frame(move |frame| {
-            let _ = &held;
-            frame
-        })
-        .boxed_unsync()
-    })
-}
-
 /// Binds a listener whose queue takes the connections of many callers at once.
 ///
 /// Must be called in a runtime.
