Nothing is sent to an address that another upstream has; callers come back after 80 ms

Cause: after a loss of power the node resumed the start of the upstream that its entry named, and each request was refused with 421 until the next heartbeat, at the cost of the retry budget. The first such answer now stops the calls until an announcement comes; an announcement clears the count of refused connections, since probes are off on the platform. A start of an upstream is told apart by the time of its start as well.

A refused caller that came back after 200 ms missed its objective of 400 ms in most cases.

--- a/crates/call/src/dialect.rs
+++ b/crates/call/src/dialect.rs
@@ -34,6 +34,8 @@
         /// Whether it refused because of its load.
         overloaded: bool,
     },
+    /// Another upstream has the address; it has not run the request.
+    Moved,
     /// It answers some other request, so nothing is known about this one.
     Foreign,
 }
--- a/crates/call/src/local.rs
+++ b/crates/call/src/local.rs
@@ -44,7 +44,10 @@
     /// Whether an announcement comes from this upstream, so that its slots and the trust in it are kept.
     pub(crate) fn is_same(&self, new: &Announcement) -> bool {
         let old = &self.lock().announcement;
-        old.service == new.service && old.address == new.address && old.instance == new.instance
+        old.service == new.service
+            && old.address == new.address
+            && old.instance == new.instance
+            && old.started == new.started
     }
 
     /// Whether this upstream runs `service`.
--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -133,6 +133,14 @@
                 let failure = Failure::service(&self.job.service, reason).with_arrival();
                 failure.with_load(self.local.gate.load())
             }
+            SendError::Moved => {
+                self.permit.take_back();
+                // Nothing more is sent there until an upstream announces itself.
+                self.local.observe(route::Presence::moved);
+                let reason = "another upstream has the address";
+                let failure = Failure::service(&self.job.service, reason).with_arrival();
+                failure.with_load(self.local.gate.load())
+            }
             SendError::Late => {
                 self.local.upstream.drop_idle();
                 self.unknown(
--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -67,6 +67,8 @@
         reason: &'static str,
         overloaded: bool,
     },
+    /// Another upstream has the address and has not run the request.
+    Moved,
     /// The deadline passed after hand-over.
     Late,
     /// The upstream broke off after hand-over.
@@ -160,6 +162,7 @@
                 }
                 Err(SendError::Declined { reason, overloaded })
             }
+            Verdict::Moved => Err(SendError::Moved),
             Verdict::Foreign => Err(SendError::Broken("answer to another request".to_owned())),
         }
     }
--- a/crates/route/src/presence.rs
+++ b/crates/route/src/presence.rs
@@ -88,10 +88,18 @@
         self
     }
 
-    /// Renews the announcement.
-    pub fn announce(&mut self, stage: Stage, now: Instant) {
+    /// Renews the announcement. An upstream that announces itself accepts connections again, but the
+    /// trust in it comes back with an answered call only.
+    pub const fn announce(&mut self, stage: Stage, now: Instant) {
         self.stage = stage;
         self.announced = now;
+        self.refused = 0;
+    }
+
+    /// Notes that another upstream has the address.
+    pub const fn moved(&mut self) {
+        self.refused = REFUSED_LIMIT;
+        self.doubted = true;
     }
 
     /// Counts the result of a probe.
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -16,7 +16,7 @@
 use crate::{Configuration, Node};
 
 /// Time after which a caller whose request was not run should come back.
-const RETRY_AFTER: Duration = Duration::from_millis(200);
+const RETRY_AFTER: Duration = Duration::from_millis(80);
 
 /// Longest time that a caller may wait. A longer one would overflow the clock.
 const PATIENCE_LIMIT: Duration = Duration::from_hours(24);
