--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -11,6 +11,7 @@
 use http::{Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 use types::{Deadline, Outcome, id};
 
 use crate::{Configuration, Node};
@@ -26,6 +27,7 @@
     node: Arc<Node>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Aborted> {
+    let start = Instant::now();
     let (head, body) = request.into_parts();
     let received = (node.adapter.receive)(&head);
     let id = received.request.unwrap_or_else(new_id);
@@ -37,10 +39,13 @@
     };
     if let Some(failure) = refusal {
         log::info!(request:% = id, reason = failure.reason.as_str(); "request refused");
+        node.metrics
+            .count_end("not-run", &failure.fault, failure.status);
         return Ok(refuse(&node, &failure));
     }
     let call = read(&node, id, received.patience, head, body);
     let answer = node.caller.call(call).await;
+    node.metrics.count(&answer, start.elapsed());
     Ok(respond(&node, answer))
 }
 
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -44,6 +44,10 @@
         peers: bind(&listen.peers)?,
         ready: bind(&listen.ready)?,
         announcements: bind(&listen.announcements)?,
+        metrics: match listen.metrics.as_str() {
+            "" => None,
+            address => Some(bind(address)?),
+        },
     };
     let node = Node::start(settings, adapter)?;
     log::info!(
@@ -58,6 +62,13 @@
     let serving = Arc::clone(&node);
     let handle = move |request| callers::serve(Arc::clone(&serving), request);
     tokio::spawn(Arc::clone(&server).serve(ports.callers, handle));
+    if let Some(metrics) = ports.metrics {
+        tokio::spawn(serve_metrics(
+            metrics,
+            Arc::clone(&node),
+            Arc::clone(&server),
+        ));
+    }
     tokio::spawn(serve_ready(ports.ready, Arc::clone(&node)));
     tokio::spawn(serve_announcements(ports.announcements, Arc::clone(&node)));
     signals.wait_stop(&file, &node).await;
@@ -78,6 +89,7 @@
     peers: TcpListener,
     ready: TcpListener,
     announcements: TcpListener,
+    metrics: Option<TcpListener>,
 }
 
 fn bind(address: &str) -> Result<TcpListener, Error> {
@@ -122,6 +134,18 @@
     server.serve(listener, handle).await;
 }
 
+async fn serve_metrics(listener: TcpListener, node: Arc<Node>, callers: Arc<Server>) {
+    let server = Arc::new(Server::new(other_limits));
+    let handle = move |_| {
+        let figures = node.figures(&callers);
+        async move {
+            let text = figures.map_err(|error| Aborted(error.to_string()))?;
+            Ok(Response::new(whole(text)))
+        }
+    };
+    server.serve(listener, handle).await;
+}
+
 async fn serve_announcements(listener: TcpListener, node: Arc<Node>) {
     let server = Arc::new(Server::new(other_limits));
     let handle = move |request| announcements::answer(Arc::clone(&node), request);
--- a/crates/sidecar/src/error.rs
+++ b/crates/sidecar/src/error.rs
@@ -20,6 +20,9 @@
     /// A name is not valid.
     #[error("{0}")]
     Id(#[from] id::Invalid),
+    /// A figure cannot be set up.
+    #[error("metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
     /// Signals cannot be taken over.
     #[error("signals: {0}")]
     Signals(io::Error),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -14,10 +14,12 @@
 mod callers;
 mod daemon;
 mod error;
+mod metrics;
 mod node;
 mod stop;
 
 pub use adapter::{Adapter, Configuration, Layout, Message, Received};
 pub use daemon::run;
 pub use error::Error;
+pub use metrics::Metrics;
 pub use node::Node;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -6,14 +6,16 @@
 use bundle::Bundle;
 use call::{Accounts, Announcement, Caller, Mesh, Options, Target};
 use directory::{Directory, Pace, Upstream, UpstreamStart, Versions};
+use front::Server;
 use member::{Record, State};
 use route::{Notice, Place, Stage, Standing, Succession};
 use settings::Settings;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use types::{Incarnation, Timestamp, id, size};
+use types::{Incarnation, Timestamp, Version, id, size};
 
-use crate::{Adapter, Configuration, Error};
+use crate::metrics::Snapshot;
+use crate::{Adapter, Configuration, Error, Metrics};
 
 /// Shortest time between two looks at the configuration: half of the time in which a version must be in
 /// force.
@@ -56,6 +58,8 @@
     pub caller: Caller,
     /// Starts of the upstream.
     succession: Mutex<Succession>,
+    /// Figures of the process.
+    pub metrics: Metrics,
     /// Settings that may change while the node runs.
     pub settings: Arc<ArcSwap<Settings>>,
     stopping: AtomicBool,
@@ -106,6 +110,7 @@
             target,
             caller,
             succession: Mutex::default(),
+            metrics: Metrics::new()?,
             settings,
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -118,6 +123,26 @@
         !self.is_stopping() && self.versions.is_ready() && self.directory.is_ready()
     }
 
+    /// Figures of the process in text form. `callers` is the server of the caller port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a figure cannot be written.
+    pub fn figures(&self, callers: &Server) -> Result<String, prometheus::Error> {
+        let load = self.target.load().unwrap_or_default();
+        let version = self.versions.get().map(|config| config.bundle.version);
+        self.metrics.text(Snapshot {
+            ready: self.is_ready(),
+            version: version.unwrap_or(Version::NONE).get(),
+            nodes: self.directory.nodes(),
+            exchanges: callers.exchanges(),
+            connections: callers.connections(),
+            peers: self.caller.connections(),
+            running: load.in_use,
+            queued: load.queued,
+        })
+    }
+
     /// Whether a planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
