--- /dev/null
+++ b/crates/directory/tests/support/mod.rs
@@ -0,0 +1,213 @@
+//! Store in memory, with the faults that a platform's store has.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use directory::{Backend, Change, Error, Item, Lease, LeaseId, Listing, Revision};
+use futures::FutureExt;
+use tokio::sync::watch;
+
+/// Longest time that a watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Default)]
+pub struct Memory {
+    state: Arc<Mutex<State>>,
+    revision: watch::Sender<u64>,
+}
+
+#[derive(Default)]
+struct State {
+    items: BTreeMap<String, (u64, Bytes, u64)>,
+    history: Vec<(u64, Change)>,
+    compacted: u64,
+    leases: BTreeSet<u64>,
+    next_lease: u64,
+    down: bool,
+    /// Puts that are done and not answered.
+    lost: usize,
+    calls: BTreeMap<&'static str, usize>,
+}
+
+impl Memory {
+    pub fn backend(&self) -> Arc<Backend> {
+        let (list, watch, grant) = (self.clone(), self.clone(), self.clone());
+        let (renew, put) = (self.clone(), self.clone());
+        Arc::new(Backend {
+            list: Box::new(move |prefix| {
+                let store = list.clone();
+                async move { store.list(&prefix) }.boxed()
+            }),
+            watch: Box::new(move |(prefix, after)| {
+                let store = watch.clone();
+                async move { store.watch(&prefix, after.0).await }.boxed()
+            }),
+            grant: Box::new(move |life| {
+                let result = grant.called("grant").map(|mut state| {
+                    state.next_lease += 1;
+                    let id = state.next_lease;
+                    state.leases.insert(id);
+                    Lease {
+                        id: LeaseId(id),
+                        life,
+                    }
+                });
+                async move { result }.boxed()
+            }),
+            renew: Box::new(move |lease| {
+                let result = renew.called("renew").and_then(|state| {
+                    let lives = state.leases.contains(&lease.0);
+                    lives.then_some(()).ok_or(Error::Lapsed)
+                });
+                async move { result }.boxed()
+            }),
+            put: Box::new(move |(item, lease, held)| {
+                let result = put.write(item, lease, held);
+                async move { result }.boxed()
+            }),
+        })
+    }
+
+    /// Writes a key as somebody else.
+    pub fn set(&self, key: &str, value: &[u8]) {
+        let mut state = self.state.lock().unwrap();
+        self.apply(&mut state, key, Some(Bytes::copy_from_slice(value)), 0);
+    }
+
+    /// Ends all leases, as the store does when it was away for long.
+    pub fn revoke_all(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.leases.clear();
+        let leased: Vec<String> = state
+            .items
+            .iter()
+            .filter(|(_, (.., lease))| *lease > 0)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in leased {
+            self.apply(&mut state, &key, None, 0);
+        }
+    }
+
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.history.clear();
+        state.compacted = *self.revision.borrow();
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.state.lock().unwrap().down = down;
+    }
+
+    pub fn lose_puts(&self, count: usize) {
+        self.state.lock().unwrap().lost = count;
+    }
+
+    pub fn get(&self, key: &str) -> Option<Bytes> {
+        let state = self.state.lock().unwrap();
+        state.items.get(key).map(|(_, value, _)| value.clone())
+    }
+
+    pub fn calls(&self, kind: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        state.calls.get(kind).copied().unwrap_or_default()
+    }
+
+    fn called(&self, kind: &'static str) -> Result<MutexGuard<'_, State>, Error> {
+        let mut state = self.state.lock().unwrap();
+        *state.calls.entry(kind).or_default() += 1;
+        if state.down {
+            return Err(Error::Unavailable("down".to_owned()));
+        }
+        Ok(state)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        let state = self.called("list")?;
+        let items = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix))
+            .map(|(key, (_, value, _))| Item {
+                key: key.clone(),
+                value: value.clone(),
+            });
+        Ok(Listing {
+            items: items.collect(),
+            revision: Revision(*self.revision.borrow()),
+        })
+    }
+
+    async fn watch(&self, prefix: &str, after: u64) -> Result<(Vec<Change>, Revision), Error> {
+        let mut revisions = self.revision.subscribe();
+        drop(self.called("watch")?);
+        let until = tokio::time::Instant::now() + WATCH_WAIT;
+        loop {
+            {
+                let state = self.state.lock().unwrap();
+                if state.down {
+                    return Err(Error::Unavailable("cut".to_owned()));
+                }
+                if after < state.compacted {
+                    return Err(Error::Compacted);
+                }
+                let new = state.history.iter().filter(|(at, change)| {
+                    let key = match change {
+                        Change::Put(item) => &item.key,
+                        Change::Removed(key) => key,
+                    };
+                    *at > after && key.starts_with(prefix)
+                });
+                let changes: Vec<_> = new.map(|(_, change)| change.clone()).collect();
+                if !changes.is_empty() {
+                    return Ok((changes, Revision(*revisions.borrow_and_update())));
+                }
+            }
+            if tokio::time::timeout_at(until, revisions.changed())
+                .await
+                .is_err()
+            {
+                return Ok((Vec::new(), Revision(after)));
+            }
+        }
+    }
+
+    fn write(&self, item: Item, lease: LeaseId, held: Revision) -> Result<Revision, Error> {
+        let mut state = self.called("put")?;
+        if !state.leases.contains(&lease.0) {
+            return Err(Error::Lapsed);
+        }
+        let current = state.items.get(&item.key).map_or(0, |(at, ..)| *at);
+        if current != held.0 {
+            return Err(Error::Conflict(Revision(current)));
+        }
+        let revision = self.apply(&mut state, &item.key, Some(item.value), lease.0);
+        if state.lost > 0 {
+            state.lost -= 1;
+            return Err(Error::Unavailable("answer lost".to_owned()));
+        }
+        Ok(Revision(revision))
+    }
+
+    fn apply(&self, state: &mut State, key: &str, value: Option<Bytes>, lease: u64) -> u64 {
+        let revision = *self.revision.borrow() + 1;
+        let change = if let Some(value) = value {
+            state
+                .items
+                .insert(key.to_owned(), (revision, value.clone(), lease));
+            Change::Put(Item {
+                key: key.to_owned(),
+                value,
+            })
+        } else {
+            state.items.remove(key);
+            Change::Removed(key.to_owned())
+        };
+        state.history.push((revision, change));
+        self.revision.send_replace(revision);
+        revision
+    }
+}
--- /dev/null
+++ b/crates/directory/tests/versions.rs
@@ -0,0 +1,85 @@
+//! Configuration in force, from a store that changes quickly or shows what it should not.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::time::Duration;
+
+use directory::{Pace, Versions};
+use support::Memory;
+use tokio::time::sleep;
+use types::Version;
+
+const PACE: Pace = Pace {
+    interval: Duration::from_millis(1200),
+    rereads: true,
+};
+
+fn decode(bytes: &[u8]) -> Result<(Version, u64), String> {
+    let text = std::str::from_utf8(bytes).map_err(|error| error.to_string())?;
+    let number: u64 = text.parse().map_err(|_| format!("`{text}` is no number"))?;
+    Ok((Version::new(number), number))
+}
+
+fn follow(store: &Memory) -> Versions<u64> {
+    Versions::start(store.backend(), "op/config", PACE, decode)
+}
+
+/// Guards against a version that is not in force in time, a return to an older one, and a broken one that
+/// takes the place of a good one.
+#[tokio::test(start_paused = true)]
+async fn the_newest_readable_version_is_in_force_and_never_an_older_one() {
+    let store = Memory::default();
+    let versions = follow(&store);
+    sleep(Duration::from_secs(5)).await;
+    assert!(!versions.is_ready());
+    for (written, expected) in [
+        ("3", 3),
+        ("8", 8),
+        ("5", 8),
+        ("broken", 8),
+        ("", 8),
+        ("9", 9),
+    ] {
+        store.set("op/config", written.as_bytes());
+        sleep(Duration::from_millis(2500)).await;
+        assert_eq!(versions.get().as_deref(), Some(&expected), "{written}");
+    }
+}
+
+/// Guards against many large reads while versions come in quick succession, and against a storm whose
+/// last version is not noticed.
+#[tokio::test(start_paused = true)]
+async fn a_storm_costs_few_reads_and_ends_with_its_last_version() {
+    let store = Memory::default();
+    store.set("op/config", b"1");
+    let versions = follow(&store);
+    sleep(Duration::from_secs(5)).await;
+    let before = store.calls("list") + store.calls("watch");
+    for version in 2..27 {
+        store.set("op/config", version.to_string().as_bytes());
+        sleep(Duration::from_millis(200)).await;
+    }
+    sleep(Duration::from_millis(2500)).await;
+    assert_eq!(versions.get().as_deref(), Some(&26));
+    let calls = store.calls("list") + store.calls("watch") - before;
+    assert!(calls <= 9, "{calls} calls for 25 versions in 5 s");
+}
+
+/// Guards against a node that waits long after an outage of the store.
+#[tokio::test(start_paused = true)]
+async fn a_version_of_an_outage_is_in_force_soon_after_it() {
+    let store = Memory::default();
+    store.set("op/config", b"1");
+    let versions = follow(&store);
+    sleep(Duration::from_secs(2)).await;
+    store.set_down(true);
+    store.set("op/config", b"2");
+    store.forget_history();
+    sleep(Duration::from_secs(20)).await;
+    assert_eq!(versions.get().as_deref(), Some(&1));
+    store.set_down(false);
+    sleep(Duration::from_millis(2500)).await;
+    assert_eq!(versions.get().as_deref(), Some(&2));
+}
--- /dev/null
+++ b/crates/route/tests/succession.rs
@@ -0,0 +1,98 @@
+//! Which start of an upstream gets calls.
+
+use std::time::Duration;
+
+use route::{Notice, Stage, Standing, Succession};
+use tokio::time::Instant;
+use types::Timestamp;
+
+fn notice(instance: &str, started: u64, sequence: u64, stage: Stage) -> Notice {
+    Notice {
+        instance: instance.to_owned(),
+        started: Timestamp::new(started),
+        sequence,
+        stage,
+    }
+}
+
+/// Guards against announcements that arrive late or out of order and bring an earlier state or start
+/// back.
+#[test]
+fn late_announcements_change_nothing() {
+    use Stage::{Draining, Ready};
+    let now = Instant::now();
+    let mut succession = Succession::default();
+    let ignored = |standing| matches!(standing, Standing::Ignored(_));
+    let mut hear = |instance, started, sequence, stage| {
+        succession.announce(&notice(instance, started, sequence, stage), now)
+    };
+    assert_eq!(hear("a", 10, 1, Ready), Standing::New(Ready));
+    assert_eq!(hear("a", 10, 3, Ready), Standing::Current(Ready));
+    assert!(ignored(hear("a", 10, 2, Draining)), "out of order");
+    assert_eq!(hear("a", 10, 4, Draining), Standing::Current(Draining));
+    assert_eq!(
+        hear("a", 10, 5, Ready),
+        Standing::Current(Draining),
+        "a start that drains never takes calls again"
+    );
+    assert_eq!(hear("b", 20, 1, Ready), Standing::New(Ready));
+    assert!(ignored(hear("a", 10, 6, Ready)), "an earlier start");
+    assert_eq!(
+        hear("b", 30, 1, Ready),
+        Standing::New(Ready),
+        "a new start under the same identity counts anew"
+    );
+}
+
+/// Guards against an upstream that cannot come back because a clock was ahead when another one began.
+#[test]
+fn an_older_start_counts_once_the_later_one_is_silent() {
+    let now = Instant::now();
+    let mut succession = Succession::default();
+    succession.announce(&notice("ahead", 50, 1, Stage::Ready), now);
+    let old = notice("behind", 40, 1, Stage::Ready);
+    let soon = now + Duration::from_secs(1);
+    assert!(matches!(
+        succession.announce(&old, soon),
+        Standing::Ignored(_)
+    ));
+    let later = now + Duration::from_secs(6);
+    assert_eq!(
+        succession.announce(&old, later),
+        Standing::New(Stage::Ready)
+    );
+}
+
+/// Guards against a departed start that a late announcement or an earlier process brings back.
+#[test]
+fn departed_starts_stay_away() {
+    let now = Instant::now();
+    let mut succession = Succession::default();
+    succession.announce(&notice("a", 10, 7, Stage::Ready), now);
+    assert_eq!(succession.depart("b", None), None, "not the current one");
+    assert_eq!(succession.depart("a", None), Some(Timestamp::new(10)));
+    assert!(matches!(
+        succession.announce(&notice("a", 10, 8, Stage::Ready), now),
+        Standing::Ignored(_)
+    ));
+    succession.resume("a", Timestamp::new(10), now);
+    assert!(!succession.is_current("a", Timestamp::new(10)));
+    assert_eq!(
+        succession.announce(&notice("a", 11, 1, Stage::Ready), now),
+        Standing::New(Stage::Ready)
+    );
+    assert!(succession.is_current("a", Timestamp::new(11)));
+}
+
+/// Guards against a resumed start whose announcements are taken for late ones.
+#[test]
+fn a_resumed_start_goes_on() {
+    let now = Instant::now();
+    let mut succession = Succession::default();
+    succession.resume("a", Timestamp::new(10), now);
+    assert!(succession.is_current("a", Timestamp::new(10)));
+    assert_eq!(
+        succession.announce(&notice("a", 10, 1, Stage::Ready), now),
+        Standing::Current(Stage::Ready)
+    );
+}
