--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -2,13 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
-mod support;
-
 use std::time::Duration;
 
 use directory::{Directory, Pace, Replica, Upstream, UpstreamStart};
 use member::{Record, State};
-use support::Memory;
+use standin::Memory;
 use tokio::time::{Instant, sleep};
 use types::{Deadline, Incarnation, Timestamp, size};
 
--- a/crates/directory/tests/versions.rs
+++ b/crates/directory/tests/versions.rs
@@ -2,12 +2,10 @@
 
 #![allow(clippy::unwrap_used)]
 
-mod support;
-
 use std::time::Duration;
 
 use directory::{Pace, Versions};
-use support::Memory;
+use standin::Memory;
 use tokio::time::sleep;
 use types::Version;
 
--- a/crates/directory/tests/support/mod.rs
+++ b/crates/standin/src/memory.rs
@@ -1,8 +1,7 @@
-//! Store in memory, with the faults that a platform's store has.
-#![allow(dead_code, clippy::unwrap_used)]
+//! Store in memory behind the closures of the [`directory`] crate, with the faults of a platform's store.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +12,7 @@
 /// Longest time that a watch waits.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
+/// Store in memory. Clones share one state.
 #[derive(Clone, Default)]
 pub struct Memory {
     state: Arc<Mutex<State>>,
@@ -33,6 +33,8 @@
 }
 
 impl Memory {
+    /// The store as nodes use it.
+    #[must_use]
     pub fn backend(&self) -> Arc<Backend> {
         let (list, watch, grant) = (self.clone(), self.clone(), self.clone());
         let (renew, put) = (self.clone(), self.clone());
@@ -73,13 +75,13 @@
 
     /// Writes a key as somebody else.
     pub fn set(&self, key: &str, value: &[u8]) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock();
         self.apply(&mut state, key, Some(Bytes::copy_from_slice(value)), 0);
     }
 
     /// Ends all leases, as the store does when it was away for long.
     pub fn revoke_all(&self) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock();
         state.leases.clear();
         let leased: Vec<String> = state
             .items
@@ -92,32 +94,43 @@
         }
     }
 
+    /// Forgets what has changed so far.
     pub fn forget_history(&self) {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock();
         state.history.clear();
         state.compacted = *self.revision.borrow();
     }
 
+    /// Refuses all calls, or serves them again.
     pub fn set_down(&self, down: bool) {
-        self.state.lock().unwrap().down = down;
+        self.lock().down = down;
     }
 
+    /// Does the next writes and does not answer them.
     pub fn lose_puts(&self, count: usize) {
-        self.state.lock().unwrap().lost = count;
+        self.lock().lost = count;
     }
 
+    /// Value of a key.
+    #[must_use]
     pub fn get(&self, key: &str) -> Option<Bytes> {
-        let state = self.state.lock().unwrap();
+        let state = self.lock();
         state.items.get(key).map(|(_, value, _)| value.clone())
     }
 
+    /// Calls of a kind so far.
+    #[must_use]
     pub fn calls(&self, kind: &str) -> usize {
-        let state = self.state.lock().unwrap();
+        let state = self.lock();
         state.calls.get(kind).copied().unwrap_or_default()
     }
 
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn called(&self, kind: &'static str) -> Result<MutexGuard<'_, State>, Error> {
-        let mut state = self.state.lock().unwrap();
+        let mut state = self.lock();
         *state.calls.entry(kind).or_default() += 1;
         if state.down {
             return Err(Error::Unavailable("down".to_owned()));
@@ -147,7 +160,7 @@
         let until = tokio::time::Instant::now() + WATCH_WAIT;
         loop {
             {
-                let state = self.state.lock().unwrap();
+                let state = self.lock();
                 if state.down {
                     return Err(Error::Unavailable("cut".to_owned()));
                 }
