--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -192,9 +192,8 @@
     /// Asks the health endpoint over a new connection.
     pub(crate) async fn probe(&self, path: &str, deadline: Deadline) -> Probe {
         let probing = async {
-            let mut connection = match self.connect().await {
-                Ok(connection) => connection,
-                Err(_) => return Probe::Refused,
+            let Ok(mut connection) = self.connect().await else {
+                return Probe::Refused;
             };
             let request = Request::get(path).header(header::HOST, self.address.to_string());
             let Ok(request) = request.body(connection::empty()) else {
--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -42,8 +42,21 @@
     /// Sequence of the own entry that the store holds.
     pub(crate) written: watch::Sender<Option<u32>>,
     replica: Mutex<Replica>,
-    /// Entry that an earlier process of this node left; known once the store was read.
-    earlier: watch::Sender<Option<Option<Entry>>>,
+    earlier: watch::Sender<Earlier>,
+}
+
+/// Entry that an earlier process of this node left.
+enum Earlier {
+    /// The store has not been read yet.
+    Unread,
+    None,
+    Found(Box<Entry>),
+}
+
+impl Earlier {
+    const fn is_read(&self) -> bool {
+        !matches!(self, Self::Unread)
+    }
 }
 
 struct Tasks {
@@ -75,7 +88,7 @@
             missing: Notify::new(),
             written: watch::Sender::new(None),
             replica: Mutex::default(),
-            earlier: watch::Sender::new(None),
+            earlier: watch::Sender::new(Earlier::Unread),
         });
         let following = Arc::clone(&shared);
         let follow = tokio::spawn(async move {
@@ -93,7 +106,7 @@
     /// Whether the entries of the other nodes are known.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.shared.earlier.borrow().is_some()
+        self.shared.has_read()
     }
 
     /// Ready targets of a service.
@@ -124,7 +137,10 @@
     /// Entry that an earlier process of this node has left. Waits until the store has been read.
     pub async fn earlier(&self) -> Option<Entry> {
         self.shared.wait_earlier().await;
-        self.shared.earlier.borrow().clone().flatten()
+        match &*self.shared.earlier.borrow() {
+            Earlier::Found(entry) => Some(entry.as_ref().clone()),
+            Earlier::Unread | Earlier::None => None,
+        }
     }
 
     /// Changes what the others see of the upstream beside this node.
@@ -196,7 +212,7 @@
     /// Waits until the entry of an earlier process of this node is known.
     pub(crate) async fn wait_earlier(&self) {
         // The sender lives as long as `self`, so the wait cannot fail.
-        let _ = self.earlier.subscribe().wait_for(Option::is_some).await;
+        let _ = self.earlier.subscribe().wait_for(Earlier::is_read).await;
     }
 
     fn apply(&self, update: Update) {
@@ -207,7 +223,7 @@
             Update::Snapshot(items) => {
                 replica.retain(|key| items.iter().any(|item| item.key == key), now);
                 let own = self.key();
-                if self.earlier.borrow().is_some() && items.iter().all(|item| item.key != own) {
+                if self.has_read() && items.iter().all(|item| item.key != own) {
                     self.missing.notify_one();
                 }
                 for item in items {
@@ -241,12 +257,18 @@
             });
         }
         self.earlier.send_if_modified(|known| {
-            let is_first = known.is_none();
-            known.get_or_insert(earlier);
+            let is_first = !known.is_read();
+            if is_first {
+                *known = earlier.map_or(Earlier::None, |entry| Earlier::Found(Box::new(entry)));
+            }
             is_first
         });
     }
 
+    fn has_read(&self) -> bool {
+        self.earlier.borrow().is_read()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Replica> {
         self.replica.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -99,13 +99,12 @@
     /// Writes the entry, under a new lease when there is none.
     async fn write(&mut self) -> Result<(), Error> {
         let asked = Instant::now();
-        let lease = match self.lease {
-            Some(lease) => lease,
-            None => {
-                let lease = (self.shared.backend.grant)(LEASE_LIFE).await?;
-                self.renew_at = asked + lease.life / RENEWALS;
-                *self.lease.insert(lease)
-            }
+        let lease = if let Some(lease) = self.lease {
+            lease
+        } else {
+            let lease = (self.shared.backend.grant)(LEASE_LIFE).await?;
+            self.renew_at = asked + lease.life / RENEWALS;
+            *self.lease.insert(lease)
         };
         let entry = self.own.borrow_and_update().clone();
         let bytes = entry
--- a/crates/front/tests/connections.rs
+++ b/crates/front/tests/connections.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use front::{Aborted, Body, Limits, Server, stream, whole};
+use futures::future::{Ready, ready};
 use futures::{StreamExt, stream as pieces};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -21,7 +22,7 @@
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: portal.example\r\n\r\n";
 
-async fn start<H, F>(idle: Duration, handler: H) -> (Arc<Server>, SocketAddr)
+fn start<H, F>(idle: Duration, handler: H) -> (Arc<Server>, SocketAddr)
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Result<Response<Body>, Aborted>> + Send + 'static,
@@ -38,8 +39,8 @@
     (server, address)
 }
 
-async fn hello() -> Result<Response<Body>, Aborted> {
-    Ok(Response::new(whole("hello")))
+fn hello() -> Ready<Result<Response<Body>, Aborted>> {
+    ready(Ok(Response::new(whole("hello"))))
 }
 
 /// Sends a request and reads until `end` has come.
@@ -62,7 +63,7 @@
 /// is on its way.
 #[tokio::test]
 async fn stop_answers_on_new_and_kept_connections_and_then_closes_them() {
-    let (server, address) = start(SOON, |_| hello()).await;
+    let (server, address) = start(SOON, |_| hello());
     let mut kept = TcpStream::connect(address).await.unwrap();
     let first = exchange(&mut kept, "hello").await;
     assert!(!first.contains("connection: close"), "{first}");
@@ -95,8 +96,7 @@
             drop(work);
             hello().await
         }
-    })
-    .await;
+    });
     let mut socket = TcpStream::connect(address).await.unwrap();
     socket.write_all(REQUEST).await.unwrap();
     while server.exchanges() == 0 {
@@ -117,8 +117,7 @@
             part
         });
         Ok(Response::new(stream(slow)))
-    })
-    .await;
+    });
     let mut socket = TcpStream::connect(address).await.unwrap();
     socket.write_all(REQUEST).await.unwrap();
     let mut text = Vec::new();
@@ -132,7 +131,7 @@
 /// Guards against connections that stay open for callers that send nothing.
 #[tokio::test]
 async fn idle_connections_are_closed() {
-    let (server, address) = start(Duration::from_millis(200), |_| hello()).await;
+    let (server, address) = start(Duration::from_millis(200), |_| hello());
     let mut silent = TcpStream::connect(address).await.unwrap();
     let mut used = TcpStream::connect(address).await.unwrap();
     exchange(&mut used, "hello").await;
--- a/crates/route/src/patience.rs
+++ b/crates/route/src/patience.rs
@@ -20,7 +20,7 @@
     pub fn elapsed(&mut self, route: &id::Route, left: Duration) -> Duration {
         if let Some(longest) = self.longest.get_mut(route) {
             *longest = left.max(*longest);
-            return *longest - left;
+            return longest.saturating_sub(left);
         }
         if self.longest.len() >= ROUTE_LIMIT {
             self.longest.clear();
--- a/crates/sidecar/src/adapter.rs
+++ b/crates/sidecar/src/adapter.rs
@@ -20,15 +20,21 @@
     /// Reads the head of a caller's request.
     pub receive: Box<dyn Fn(&Parts) -> Received + Send + Sync>,
     /// Sets the headers of a request that name the service beside this node.
-    pub identify: Box<dyn Fn(&str, &mut HeaderMap) + Send + Sync>,
+    pub identify: Box<Mark<str>>,
     /// Sets the headers by which a caller learns when to come back.
-    pub postpone: Box<dyn Fn(Duration, &mut HeaderMap) + Send + Sync>,
+    pub postpone: Box<Mark<Duration>>,
     /// Reads a message of the upstream; the reason when it is none.
-    pub message: Box<dyn Fn(&Method, &str, &[u8]) -> Result<Message, String> + Send + Sync>,
+    pub message: Box<Read>,
     /// Headers that pass between the node and the upstream.
     pub dialect: Arc<Dialect>,
 }
 
+/// Sets headers that tell a value.
+type Mark<V> = dyn Fn(&V, &mut HeaderMap) + Send + Sync;
+
+/// Reads a message by its method, path and body.
+type Read = dyn Fn(&Method, &str, &[u8]) -> Result<Message, String> + Send + Sync;
+
 type Decode = dyn Fn(&[u8]) -> Result<(Version, Configuration), String> + Send + Sync;
 
 /// Where things lie in the store.
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -75,7 +75,7 @@
         .uri
         .host()
         .or_else(|| named.and_then(|value| value.to_str().ok()));
-    call.host = without_port(host.unwrap_or_default()).to_owned();
+    without_port(host.unwrap_or_default()).clone_into(&mut call.host);
     call.headers = head.headers;
     let settings = node.settings.load();
     (node.adapter.identify)(&settings.upstream.service, &mut call.headers);
@@ -123,7 +123,7 @@
 /// Tells a caller whose request was not run when to come back.
 fn postpone(node: &Node, response: &mut Response<Body>) {
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-        (node.adapter.postpone)(RETRY_AFTER, response.headers_mut());
+        (node.adapter.postpone)(&RETRY_AFTER, response.headers_mut());
     }
 }
 
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -238,7 +238,7 @@
         }
         Ok(_) => {}
         Err(findings) => {
-            log::warn!(file = name.as_str(), reason:% = findings; "settings are left out")
+            log::warn!(file = name.as_str(), reason:% = findings; "settings are left out");
         }
     }
 }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -22,7 +22,7 @@
 pub(crate) async fn stop(node: Arc<Node>, callers: &Server, grace: Duration) {
     let start = Instant::now();
     let end = Deadline::new(start + grace.saturating_sub(EXIT_MARGIN));
-    log::info!(exchanges = callers.exchanges(), grace_ms = grace.as_millis() as u64; "stopping");
+    log::info!(exchanges = callers.exchanges(), grace:?; "stopping");
     node.set_stopping();
     callers.drain();
     let draining = node.target.drain(end);
@@ -37,6 +37,6 @@
         log::warn!(exchanges, target = running; "grace time is over with calls in flight");
     }
     node.directory.clone().close();
-    log::info!(took_ms = start.elapsed().as_millis() as u64; "stopped");
+    log::info!(took:? = start.elapsed(); "stopped");
     log::logger().flush();
 }
--- a/crates/sidecar/tests/nodes.rs
+++ b/crates/sidecar/tests/nodes.rs
@@ -71,7 +71,7 @@
             let service = "renewals".parse().unwrap();
             let mut announcement =
                 Announcement::new(service, address.parse().unwrap(), slots, connections);
-            announcement.instance = instance.to_owned();
+            instance.clone_into(&mut announcement.instance);
             announcement.started = started;
             Ok(Message::Heartbeat(notice, announcement))
         }
@@ -193,7 +193,7 @@
     last: Arc<Mutex<Option<http::request::Parts>>>,
 }
 
-async fn upstream() -> Upstream {
+fn upstream() -> Upstream {
     let limits = Limits {
         header_bytes: 16 * 1024,
         idle: SOON,
@@ -231,7 +231,7 @@
     let store = Memory::default();
     store.set("op/config", b"3");
     let (a, b) = (start(&store, "a").await, start(&store, "b").await);
-    let upstream = upstream().await;
+    let upstream = upstream();
     wait_status(b.ready, "GET /", "200").await;
     upstream.beat(&b, "i-1", 1, "ready").await;
     let line = "PATCH /status/{x}\"//%2F?q={y}";
@@ -273,7 +273,7 @@
     let store = Memory::default();
     store.set("op/config", b"3");
     let node = start(&store, "a").await;
-    let upstream = upstream().await;
+    let upstream = upstream();
     wait_status(node.ready, "GET /", "200").await;
     upstream.beat(&node, "i-1", 1, "ready").await;
     wait_status(node.callers, "GET /status/1", "200").await;
