Shorter queues: 0.3 of what the objective leaves, 40 ms for late calls

Cause: with more load than capacity every answer waited as long as the most patient class of calls was let in, so most came late.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -8,10 +8,10 @@
 
 /// Part of the time that an objective leaves beside the service time which a call may wait. Service times
 /// vary, so a call that waits longer would often miss its objective.
-const WAIT_SHARE: f64 = 0.5;
+const WAIT_SHARE: f64 = 0.3;
 
 /// Longest wait of a call that misses its objective anyway.
-const LATE_WAIT: Duration = Duration::from_millis(100);
+const LATE_WAIT: Duration = Duration::from_millis(40);
 
 /// Part of the average service time that must be left before the deadline when a call begins.
 const SERVICE_SHARE: f64 = 0.5;
