--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -77,5 +77,5 @@
 pub use dialect::{Dialect, Handover, Verdict};
 pub use failure::{Cut, Failure};
 pub use mesh::Mesh;
-pub use request::{Request, Upload};
+pub use request::{Request, Upload, new_id};
 pub use target::{Options, Target};
--- a/crates/call/src/request.rs
+++ b/crates/call/src/request.rs
@@ -30,6 +30,17 @@
     pub body: Upload,
 }
 
+/// Draws an identity for a call whose caller named none.
+#[must_use]
+pub fn new_id() -> id::Request {
+    loop {
+        // Hexadecimal digits are always a valid id, so the loop ends in its first pass.
+        if let Ok(id) = format!("{:032x}", rand::random::<u128>()).parse() {
+            return id;
+        }
+    }
+}
+
 impl Request {
     /// Creates a request without headers, deadline, key and body.
     #[must_use]
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -226,16 +226,7 @@
 fn request_id(request: &rocket::Request<'_>) -> id::Request {
     let sent = request.headers().get_one(headers::REQUEST_ID);
     sent.and_then(|text| text.parse().ok())
-        .unwrap_or_else(new_id)
-}
-
-fn new_id() -> id::Request {
-    loop {
-        // Hexadecimal digits are always a valid id, so the loop ends in its first pass.
-        if let Ok(id) = format!("{:032x}", rand::random::<u128>()).parse() {
-            return id;
-        }
-    }
+        .unwrap_or_else(call::new_id)
 }
 
 /// Drives the pump; waits for ever once it is done.
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -30,7 +30,7 @@
     let start = Instant::now();
     let (head, body) = request.into_parts();
     let received = (node.adapter.receive)(&head);
-    let id = received.request.unwrap_or_else(new_id);
+    let id = received.request.unwrap_or_else(call::new_id);
     let refusal = if node.is_closed() {
         Some(Failure::mesh("stopping"))
     } else {
@@ -126,12 +126,3 @@
         (node.adapter.postpone)(&RETRY_AFTER, response.headers_mut());
     }
 }
-
-fn new_id() -> id::Request {
-    loop {
-        // Hexadecimal digits are always a valid id, so the loop ends in its first pass.
-        if let Ok(id) = format!("{:032x}", rand::random::<u128>()).parse() {
-            return id;
-        }
-    }
-}
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -8,7 +8,7 @@
 use settings::Settings;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval};
 use wire::{Kind, Stream};
 
 use crate::{Adapter, Error, Node, announcements, callers, stop};
@@ -16,6 +16,9 @@
 /// Connections of callers. The descriptors of a process bound them as well.
 const CALLER_CONNECTIONS: usize = 3000;
 
+/// Connections of other nodes, one for each node that calls the target.
+const PEER_CONNECTIONS: usize = 1024;
+
 /// Connections to each of the other ports.
 const OTHER_CONNECTIONS: usize = 128;
 
@@ -28,9 +31,6 @@
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Wait after a failed accept, which happens when the process is out of file descriptors.
-const ACCEPT_WAIT: Duration = Duration::from_millis(50);
-
 /// Runs the node until a planned stop is complete. `file` is read again when it changes.
 ///
 /// # Errors
@@ -160,23 +160,8 @@
 
 /// Accepts connections of other nodes until the task is dropped.
 async fn serve_peers(listener: TcpListener, node: Arc<Node>) {
-    loop {
-        let socket = match listener.accept().await {
-            Ok((socket, _)) => socket,
-            Err(error) => {
-                log::warn!(reason:% = error; "connection not accepted");
-                sleep(ACCEPT_WAIT).await;
-                continue;
-            }
-        };
-        let node = Arc::clone(&node);
-        tokio::spawn(async move {
-            let handle = move |kind, stream| dispatch(Arc::clone(&node), kind, stream);
-            if let Err(error) = wire::serve(socket, handle).await {
-                log::debug!(reason:% = error; "connection of a node ended");
-            }
-        });
-    }
+    let handle = move |kind, stream| dispatch(Arc::clone(&node), kind, stream);
+    wire::listen(listener, PEER_CONNECTIONS, handle).await;
 }
 
 async fn dispatch(node: Arc<Node>, kind: Kind, stream: Stream) {
