An answer of a known length ends with its last byte

Cause: the HTTP library stops reading a body when the stated length has been written and drops it, so calls at the node's own target counted as given up, failures without a body were missing in accounts and logs, and the connection to the target was closed after each of them.

Optional texts of the settings that are not set are printed as comments; the printed settings could not be read back.

--- a/crates/call/src/ledger.rs
+++ b/crates/call/src/ledger.rs
@@ -79,13 +79,18 @@
         };
         let (request, version) = (self.request.clone(), self.version);
         let upstream = Some(reply.upstream).filter(|time| !time.is_zero());
-        let delivery = Delivery {
+        let length = reply.headers.get(header::CONTENT_LENGTH);
+        let mut delivery = Delivery {
             parts: reply.body,
+            left: length.and_then(|value| value.to_str().ok()?.parse().ok()),
             fault: fault.clone(),
             reason: reason.clone(),
             ledger: self,
             _in_flight: in_flight,
         };
+        if delivery.left == Some(0) {
+            delivery.settle();
+        }
         Answer {
             request,
             status: reply.status,
@@ -155,30 +160,50 @@
 /// Body of an answer on its way to the caller.
 struct Delivery {
     parts: BoxStream<'static, Result<Bytes, Cut>>,
+    /// Bytes that have not come yet, when the length is known.
+    left: Option<u64>,
     fault: Fault,
     reason: String,
     ledger: Ledger,
     _in_flight: InFlight,
 }
 
+impl Delivery {
+    fn settle(&mut self) {
+        if !self.ledger.settled {
+            self.ledger.settle(Outcome::Ran, &self.fault, &self.reason);
+        }
+    }
+
+    /// Counts a part. Who reads a body of a known length need not ask for its end, so the call ends with
+    /// its last byte.
+    fn count(&mut self, part: &Bytes) {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(part.len() as u64);
+            if *left == 0 {
+                self.settle();
+            }
+        }
+    }
+}
+
 /// Next piece of the body; the state is empty after the end.
 async fn next_part(delivery: Option<Delivery>) -> Option<(Result<Bytes, Cut>, Option<Delivery>)> {
     let mut delivery = delivery?;
     match delivery.parts.next().await {
-        Some(Ok(part)) => Some((Ok(part), Some(delivery))),
+        Some(Ok(part)) => {
+            delivery.count(&part);
+            Some((Ok(part), Some(delivery)))
+        }
         Some(Err(cut)) => {
             let ledger = &mut delivery.ledger;
-            ledger.settle(Outcome::Unknown, &cut.fault, &cut.to_string());
+            if !ledger.settled {
+                ledger.settle(Outcome::Unknown, &cut.fault, &cut.to_string());
+            }
             Some((Err(cut), None))
         }
         None => {
-            let Delivery {
-                mut ledger,
-                fault,
-                reason,
-                ..
-            } = delivery;
-            ledger.settle(Outcome::Ran, &fault, &reason);
+            delivery.settle();
             None
         }
     }
--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -6,7 +6,7 @@
 use http::Response;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, timeout_at};
 use types::{Deadline, Fault, Outcome};
 
@@ -212,6 +212,11 @@
                 if let Some(recording) = &mut running.recording {
                     recording.add(&part);
                 }
+                if running.parts.is_end_stream() {
+                    // Who reads a body of a known length need not ask for its end.
+                    finish(running).await;
+                    return Some((Ok(part), None));
+                }
                 return Some((Ok(part), Some(running)));
             }
             Ok(None) => {
--- a/crates/call/tests/outcomes.rs
+++ b/crates/call/tests/outcomes.rs
@@ -297,3 +297,28 @@
         }
     }
 }
+
+/// Guards against an answer that counts as given up because its reader stops at the last byte, and against
+/// a failure without a body that is missing in the account.
+#[tokio::test]
+async fn a_reader_that_stops_at_the_last_byte_has_the_whole_answer() {
+    for (behaviour, failures) in [(Behaviour::Echo(3000), 0), (Behaviour::Status(500), 1)] {
+        for remote in [true, false] {
+            let world = World::new(service());
+            let upstream = Upstream::start(behaviour.clone()).await;
+            let target = world.target("b", upstream.address()).await;
+            let other = world.node("a", None).await;
+            let node = if remote { &other } else { &target };
+            let mut answer = node.caller.call(status("r1")).await;
+            let length = answer.headers["content-length"].to_str().unwrap();
+            let mut left: usize = length.parse().unwrap();
+            while left > 0 {
+                left -= answer.body.next().await.unwrap().unwrap().len();
+            }
+            drop(answer);
+            let account = node.accounts.read(&owner());
+            assert_eq!(account.counters.cancelled, 0, "{behaviour:?} {remote}");
+            assert_eq!(account.failures.len(), failures, "{behaviour:?} {remote}");
+        }
+    }
+}
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -1,7 +1,7 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 
-use schema::section::Section as Table;
+use schema::section::{Kind, Section as Table};
 use schema::settings::{Calls, Listen, Log, Node, Retries, Spread, Stop, Store, Upstream};
 use types::{Finding, Findings, id};
 
@@ -188,8 +188,11 @@
     let mut text = format!("; {}\n[{}]\n", table.doc, table.name);
     for key in table.keys {
         let value = (table.get)(value, key.name).unwrap_or_default();
+        // An optional text that is not set cannot be written as an empty value.
+        let is_unset = value.is_empty() && !matches!(key.kind, Kind::List);
+        let mark = if is_unset { "; " } else { "" };
         // Writing to a string does not fail.
-        let _ = writeln!(text, "; {}\n{} = {value}", key.doc, key.name);
+        let _ = writeln!(text, "; {}\n{mark}{} = {value}", key.doc, key.name);
     }
     text
 }
