A departure that comes before the store is read binds

Its target took its leave, without the time of its start, which the new process did not know; it acknowledged and remembered nothing. When the store was back, the node resumed that start from the entry of the earlier process and sent it work 2.5 s after the leave.

A leave of an unknown start is remembered with the time of its arrival, and a draining announcement counts as a departure while the directory is unread.

--- a/crates/route/src/succession.rs
+++ b/crates/route/src/succession.rs
@@ -121,17 +121,24 @@
 
     /// Notes that a start has taken its leave; `started` may be left out by the upstream. Returns the
     /// time when that start began, when it is the one that gets the calls.
-    pub fn depart(&mut self, instance: &str, started: Option<Timestamp>) -> Option<Timestamp> {
+    ///
+    /// A start of which nothing is known began before `now`, by the clock of the instance that the
+    /// upstream shares with the node.
+    pub fn depart(
+        &mut self,
+        instance: &str,
+        started: Option<Timestamp>,
+        now: Timestamp,
+    ) -> Option<Timestamp> {
         let current = self
             .current
             .take_if(|current| {
                 current.instance == instance && started.is_none_or(|at| at >= current.started)
             })
             .map(|current| current.started);
-        if let Some(started) = started.max(current) {
-            self.forget_oldest();
-            self.departed.push((instance.to_owned(), started));
-        }
+        let began = started.max(current).unwrap_or(now);
+        self.forget_oldest();
+        self.departed.push((instance.to_owned(), began));
         current
     }
 
--- a/crates/route/tests/succession.rs
+++ b/crates/route/tests/succession.rs
@@ -6,6 +6,9 @@
 use tokio::time::Instant;
 use types::Timestamp;
 
+/// Time at which starts take their leave.
+const LEFT: Timestamp = Timestamp::new(100);
+
 fn notice(instance: &str, started: u64, sequence: u64, stage: Stage) -> Notice {
     Notice {
         instance: instance.to_owned(),
@@ -69,8 +72,12 @@
     let now = Instant::now();
     let mut succession = Succession::default();
     succession.announce(&notice("a", 10, 7, Stage::Ready), now);
-    assert_eq!(succession.depart("b", None), None, "not the current one");
-    assert_eq!(succession.depart("a", None), Some(Timestamp::new(10)));
+    assert_eq!(
+        succession.depart("b", None, LEFT),
+        None,
+        "not the current one"
+    );
+    assert_eq!(succession.depart("a", None, LEFT), Some(Timestamp::new(10)));
     assert!(matches!(
         succession.announce(&notice("a", 10, 8, Stage::Ready), now),
         Standing::Ignored(_)
@@ -96,3 +103,23 @@
         Standing::Current(Stage::Ready)
     );
 }
+
+/// Guards against a start that takes its leave before the node knows it, as after a restart while the
+/// store is away, and is resumed when the entry of the earlier process is read.
+#[test]
+fn a_start_that_left_unknown_is_not_resumed() {
+    let now = Instant::now();
+    let mut succession = Succession::default();
+    assert_eq!(succession.depart("a", None, LEFT), None);
+    succession.resume("a", Timestamp::new(10), now);
+    assert!(!succession.is_current("a", Timestamp::new(10)));
+    assert!(matches!(
+        succession.announce(&notice("a", 10, 9, Stage::Ready), now),
+        Standing::Ignored(_)
+    ));
+    assert_eq!(
+        succession.announce(&notice("a", 101, 1, Stage::Ready), now),
+        Standing::New(Stage::Ready),
+        "a start after that leave"
+    );
+}
--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -63,6 +63,10 @@
 async fn hear(node: &Node, notice: &Notice, announcement: Announcement) {
     // A late announcement of a start that left an earlier process of this node must not count.
     if !node.directory.is_ready() {
+        if notice.stage == Stage::Draining {
+            // The entry of an earlier process may name this start as the one that gets the calls.
+            node.depart(&notice.instance, Some(notice.started));
+        }
         log::info!(instance:% = notice.instance; "announcement before the directory is known");
         return;
     }
@@ -94,9 +98,8 @@
     if current.is_some() {
         node.target.withdraw();
     }
-    if let Some(started) = current.or(started) {
-        record(node, instance, started).await;
-    }
+    let started = current.or(started).unwrap_or_else(Timestamp::now);
+    record(node, instance, started).await;
 }
 
 /// Keeps a departure in the store, for the case that this process ends before the upstream does.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -169,7 +169,8 @@
     /// Notes that a start of the upstream has taken its leave. Returns the time when it began, when it
     /// was the one that got the calls.
     pub fn depart(&self, instance: &str, started: Option<Timestamp>) -> Option<Timestamp> {
-        self.lock_succession().depart(instance, started)
+        self.lock_succession()
+            .depart(instance, started, Timestamp::now())
     }
 
     /// Takes up what an earlier process of this node knew about its upstream: the start that has taken
--- a/crates/sidecar/tests/nodes.rs
+++ b/crates/sidecar/tests/nodes.rs
@@ -291,3 +291,31 @@
     let bad = send(node.announcements, "POST /nonsense").await;
     assert_eq!(status(&bad), "400");
 }
+
+/// Guards against a departure that was acknowledged before the store could be read, and is forgotten when
+/// the entry of the earlier process names the start as the current one.
+#[tokio::test]
+async fn a_departure_binds_while_the_store_is_away() {
+    for message in ["POST /leave/i-1", "POST /beat/i-1/7/9/draining/127.0.0.1:1"] {
+        let store = Memory::default();
+        store.set("op/config", b"3");
+        let first = start(&store, "a").await;
+        let upstream = upstream();
+        wait_status(first.ready, "GET /", "200").await;
+        upstream.beat(&first, "i-1", 1, "ready").await;
+        wait_status(first.callers, "GET /status/1", "200").await;
+        while store.get("mesh/a").is_none() {
+            sleep(Duration::from_millis(10)).await;
+        }
+        store.set_down(true);
+        let second = start(&store, "a").await;
+        assert_eq!(status(&send(second.announcements, message).await), "200");
+        store.set_down(false);
+        wait_status(second.ready, "GET /", "200").await;
+        sleep(Duration::from_millis(200)).await;
+        let before = upstream.runs.load(Ordering::SeqCst);
+        let refused = send(second.callers, "GET /status/1").await;
+        assert_eq!(status(&refused), "503", "{message}");
+        assert_eq!(upstream.runs.load(Ordering::SeqCst), before, "{message}");
+    }
+}
