--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`Routes`] finds the [`Plan`] of a call.
 //! - [`Picture`] chooses a target from [`Candidate`]s by [`Tier`], subset, load and recent failures.
-//! - [`Admission`] decides whether a target takes a call, lets it wait or refuses it.
+//! - [`Patience`] tells from the time that a caller leaves whether it has come back.
+//! - [`Admission`] decides by the [`Demand`] of a call whether a target takes a call, lets it wait or refuses it.
 //! - [`Presence`] decides whether an upstream may get calls.
 //! - [`Succession`] decides which start of an upstream gets calls.
 //! - [`Budget`] bounds retries, [`Bucket`] bounds keyed calls.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,7 @@
 //! Connections between nodes.
 //!
-//! [`Connection`] dials a peer and opens streams; [`serve`] runs the accepting side of one
-//! connection. Both give a [`Stream`], which sends and receives messages of the `schema` crate. A
+//! [`Connection`] dials a peer and opens streams; [`listen`] accepts connections and [`serve`] runs the accepting side
+//! of one. Both give a [`Stream`], which sends and receives messages of the `schema` crate. A
 //! stream ends properly only when the sender calls [`Sender::finish`]; every other end is an
 //! [`Error`].
 //!
