Tests restart a node when its ports are free

Ports are drawn by the system, which may give a port to a connection of another process between the end of the daemon and its next start. The harness waits until they can be bound; what the tests check stays.

--- a/crates/node/tests/processes/harness/mod.rs
+++ b/crates/node/tests/processes/harness/mod.rs
@@ -17,7 +17,7 @@
 use tempfile::TempDir;
 use tokio::process::Command;
 use tokio::sync::{Semaphore, SemaphorePermit};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use types::report;
 
 pub use load::{Load, Seen};
@@ -122,6 +122,9 @@
 
     /// Starts the process of a node again, with the same ports.
     pub async fn restart(&self, node: &mut Node) {
+        for name in ["callers", "peers", "admin"] {
+            wait_free(&node.process.port(name)).await;
+        }
         node.process = self.daemon(&node.id, &node.settings).await;
     }
 
@@ -357,3 +360,15 @@
     );
     (format!("{name}.ini"), text)
 }
+
+/// Waits until an address can be bound. Once its process has ended, the system may give the port to a
+/// connection of any other process for a while.
+async fn wait_free(address: &str) {
+    let binding = async {
+        while tokio::net::TcpListener::bind(address).await.is_err() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let free = timeout(SETTLED, binding).await;
+    free.unwrap_or_else(|_| panic!("{address} is used by another process"));
+}
