Send large answers at the pace of the instance's link

Change: route::Egress sets time of the link aside for each large answer to another node, refuses those that cannot be sent by their objective before they run, and hands pieces to the link at 0.8 of its rate, two answers at a time. The answer is read ahead, so the slot is free meanwhile. The link's delay is part of the load report.

--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -294,6 +294,7 @@
         key: request.idempotency_key,
         version: routes.version(),
         priority: plan.priority,
+        bulk: plan.scope.bulk,
         objective: (!plan.objective.is_zero())
             .then(|| Deadline::new(now + plan.objective.saturating_sub(elapsed))),
     };
--- a/crates/call/src/gate.rs
+++ b/crates/call/src/gate.rs
@@ -1,15 +1,19 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use route::{Admission, Decision, Demand, Load, Refusal, Ticket};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, timeout_at};
 use types::{Deadline, size};
 
+use crate::outbound::Outbound;
+
 /// Admission of one target, with the tasks that wait for a slot.
 pub(crate) struct Gate {
     inner: Mutex<Inner>,
     in_use: watch::Sender<u32>,
+    outbound: Arc<Outbound>,
 }
 
 struct Inner {
@@ -31,13 +35,14 @@
 }
 
 impl Gate {
-    pub(crate) fn new(slots: size::Slots, queue: size::Queue) -> Self {
+    pub(crate) fn new(slots: size::Slots, queue: size::Queue, outbound: Arc<Outbound>) -> Self {
         Self {
             inner: Mutex::new(Inner {
                 admission: Admission::new(slots, queue, Instant::now()),
                 waiting: HashMap::new(),
             }),
             in_use: watch::Sender::new(0),
+            outbound,
         }
     }
 
@@ -100,7 +105,15 @@
 
     /// Load to report to callers' nodes.
     pub(crate) fn load(&self) -> Load {
-        self.lock().admission.load(Instant::now())
+        Load {
+            link_us: u64::try_from(self.outbound.delay().as_micros()).unwrap_or(u64::MAX),
+            ..self.lock().admission.load(Instant::now())
+        }
+    }
+
+    /// Time after which a call that comes now would be answered.
+    pub(crate) fn expected(&self, demand: &Demand) -> Duration {
+        self.lock().admission.expected(demand, Instant::now())
     }
 
     /// Waits until no slot is in use; returns the slots in use when the deadline passed first.
--- a/crates/call/src/job.rs
+++ b/crates/call/src/job.rs
@@ -27,6 +27,8 @@
     pub(crate) priority: u32,
     /// By when the answer is of full use; `None` without an objective.
     pub(crate) objective: Option<Deadline>,
+    /// Whether the answer is large.
+    pub(crate) bulk: bool,
 }
 
 impl Job {
@@ -56,6 +58,7 @@
             idempotency_key: self.key.clone().unwrap_or_default(),
             version: self.version.get(),
             priority: self.priority,
+            bulk: self.bulk,
             objective_us: self.objective.map_or(0, |objective| {
                 let left = objective.remaining(now).saturating_sub(margin);
                 // Zero stands for no objective.
@@ -81,6 +84,7 @@
             key: (!head.idempotency_key.is_empty()).then_some(head.idempotency_key),
             version: Version::new(head.version),
             priority: head.priority,
+            bulk: head.bulk,
             objective: (head.objective_us > 0).then(|| {
                 let left = Duration::from_micros(head.objective_us).min(DEADLINE_LIMIT);
                 Deadline::new(now + left)
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -60,6 +60,7 @@
 mod mesh;
 mod message;
 mod once;
+mod outbound;
 mod payload;
 mod pool;
 mod reply;
--- a/crates/call/src/message.rs
+++ b/crates/call/src/message.rs
@@ -55,6 +55,7 @@
         wait_us: load.wait_us,
         shed: load.shed,
         cold: load.cold,
+        link_us: load.link_us,
     }
 }
 
@@ -66,6 +67,7 @@
         wait_us: load.wait_us,
         shed: load.shed,
         cold: load.cold,
+        link_us: load.link_us,
     }
 }
 
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::stream::{self, StreamExt};
-use http::StatusCode;
+use futures::stream::{self, BoxStream, StreamExt};
+use http::{HeaderMap, StatusCode, header};
 use schema::call::{AnswerHead, End, Message, message::Kind};
 use tokio::time::{Instant, timeout, timeout_at};
 use types::Deadline;
@@ -11,9 +11,13 @@
 
 use crate::job::Job;
 use crate::message::{self, message};
+use crate::outbound::{PIECE, Parcel, read_ahead};
 use crate::payload::Payload;
 use crate::reply::Reply;
-use crate::{Failure, Target, Upload};
+use crate::{Cut, Failure, Target, Upload};
+
+/// Body of an answer.
+type Answering = BoxStream<'static, Result<Bytes, Cut>>;
 
 /// Longest time between the start of a stream and the head of its call.
 const HEAD_LIMIT: Duration = Duration::from_secs(5);
@@ -59,7 +63,7 @@
             () = sender.wait_reset() => return,
         };
         let sent = match result {
-            Ok(reply) => send_reply(sender, reply).await,
+            Ok((reply, parcel)) => send_reply(sender, reply, parcel).await,
             Err(failure) => report(sender, &failure).await,
         };
         if sent.is_err() {
@@ -67,10 +71,15 @@
         }
     }
 
-    async fn receive_and_run(&self, job: Job, receiver: Receiver) -> Result<Reply, Failure> {
+    async fn receive_and_run(
+        &self,
+        job: Job,
+        receiver: Receiver,
+    ) -> Result<(Reply, Option<Parcel>), Failure> {
+        let parcel = self.reserve(&job)?;
         let reading = Payload::read(upload(receiver));
         match timeout_at(job.deadline.instant(), reading).await {
-            Ok(Ok(payload)) => self.run(job, payload).await,
+            Ok(Ok(payload)) => Ok((self.run(job, payload).await?, parcel)),
             Ok(Err(error)) => Err(Failure::caller(
                 StatusCode::BAD_REQUEST,
                 format!("request body broke off: {error}"),
@@ -113,7 +122,11 @@
 }
 
 /// Sends an answer and its proper end. An answer that breaks off ends with a failure instead.
-async fn send_reply(sender: &mut Sender, mut reply: Reply) -> Result<(), Error> {
+async fn send_reply(
+    sender: &mut Sender,
+    mut reply: Reply,
+    parcel: Option<Parcel>,
+) -> Result<(), Error> {
     let head = AnswerHead {
         status: u32::from(reply.status.as_u16()),
         headers: message::headers(&reply.headers),
@@ -122,16 +135,42 @@
         upstream_us: u64::try_from(reply.upstream.as_micros()).unwrap_or(u64::MAX),
     };
     sender.send(&message(Kind::Answer(head))).await?;
+    let Some(mut parcel) = parcel else {
+        return send_body(sender, reply.body, None).await;
+    };
+    if let Some(length) = content_length(&reply.headers) {
+        parcel.measure(length);
+    }
+    reply.body = read_ahead(reply.body);
+    let outbound = parcel.outbound();
+    let turn = tokio::select! {
+        turn = outbound.turn() => turn,
+        () = sender.wait_reset() => return Err(Error::Closed),
+    };
+    let sent = send_body(sender, reply.body, Some(parcel)).await;
+    drop(turn);
+    sent
+}
+
+/// Sends the body of an answer, a large one at the pace of the link.
+async fn send_body(
+    sender: &mut Sender,
+    mut body: Answering,
+    mut parcel: Option<Parcel>,
+) -> Result<(), Error> {
     let mut length = 0;
     loop {
         let part = tokio::select! {
-            part = reply.body.next() => part,
+            part = body.next() => part,
             () = sender.wait_reset() => return Err(Error::Closed),
         };
         match part {
             Some(Ok(part)) => {
                 length += part.len() as u64;
-                sender.send_data(part).await?;
+                match &mut parcel {
+                    Some(parcel) => send_paced(sender, part, parcel).await?,
+                    None => drop(sender.send_data(part).await?),
+                }
             }
             Some(Err(cut)) => {
                 sender.send(&message::cut_message(&cut)).await?;
@@ -143,3 +182,22 @@
     sender.send(&message(Kind::End(End { length }))).await?;
     sender.finish()
 }
+
+async fn send_paced(
+    sender: &mut Sender,
+    mut part: Bytes,
+    parcel: &mut Parcel,
+) -> Result<(), Error> {
+    while !part.is_empty() {
+        let piece = part.split_to(part.len().min(PIECE));
+        let size = piece.len();
+        sender.send_data(piece).await?;
+        parcel.pace(size).await;
+    }
+    Ok(())
+}
+
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -8,6 +8,7 @@
 use store::Store;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
+use types::rate::Bandwidth;
 use types::{Deadline, id, size};
 
 use crate::active::Active;
@@ -15,6 +16,7 @@
 use crate::job::Job;
 use crate::local::{Local, PROBE_INTERVAL};
 use crate::once::Once;
+use crate::outbound::{Outbound, Parcel};
 use crate::payload::Payload;
 use crate::reply::Reply;
 use crate::run::Run;
@@ -33,6 +35,7 @@
     draining: AtomicBool,
     announced: watch::Sender<Option<Announcement>>,
     options: Options,
+    outbound: Arc<Outbound>,
 }
 
 /// What differs between the interfaces that upstreams use.
@@ -43,6 +46,8 @@
     pub announcement_life: Duration,
     /// Whether the upstream's health is asked for. Without it, the calls themselves show the health.
     pub probes: bool,
+    /// Link of the instance, which large answers to other nodes share.
+    pub link: Bandwidth,
 }
 
 impl Default for Options {
@@ -51,6 +56,7 @@
             dialect: Arc::default(),
             announcement_life: ANNOUNCEMENT_LIFE,
             probes: true,
+            link: Bandwidth::default(),
         }
     }
 }
@@ -74,6 +80,7 @@
             active: Arc::default(),
             draining: AtomicBool::new(false),
             announced: watch::Sender::new(None),
+            outbound: Arc::new(Outbound::new(options.link)),
             options,
         }))
     }
@@ -159,6 +166,26 @@
             .await
     }
 
+    /// Sets time of the link aside for the answer to a call of another node, when it is large.
+    pub(crate) fn reserve(&self, job: &Job) -> Result<Option<Parcel>, Failure> {
+        if !job.bulk {
+            return Ok(None);
+        }
+        let local = self.0.local.load_full();
+        let demand = job.demand();
+        let service = local.as_ref().map(|local| local.gate.expected(&demand));
+        match self.0.outbound.admit(&demand, service.unwrap_or_default()) {
+            Ok(parcel) => Ok(Some(parcel)),
+            Err(refusal) => {
+                let failure = Failure::service(&job.service, refusal.reason());
+                Err(match local {
+                    Some(local) => failure.with_load(local.gate.load()),
+                    None => failure,
+                })
+            }
+        }
+    }
+
     /// Checks what does not depend on the load.
     fn admit(&self, job: &Job) -> Result<Arc<Local>, Failure> {
         if self.0.draining.load(Ordering::Acquire) {
@@ -195,7 +222,7 @@
         );
         let usable = Upstream::usable_slots(slots, connections);
         let life = self.options.announcement_life;
-        Local::new(announcement, Gate::new(usable, queue), upstream, life)
+        Local::new(announcement, Gate::new(usable, queue, Arc::clone(&self.outbound)), upstream, life)
     }
 
     fn publish(&self) {
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -37,6 +37,8 @@
     Slow,
     /// The wait would cost the call its objective.
     Busy,
+    /// The link could not send the answer by the objective.
+    Link,
     /// The target takes no new calls.
     Draining,
 }
@@ -50,6 +52,7 @@
             Self::QueueFull => "queue full",
             Self::Slow => "deadline cannot be met",
             Self::Busy => "objective cannot be met",
+            Self::Link => "link is busy",
             Self::Draining => "draining",
         }
     }
@@ -265,6 +268,7 @@
             slots: self.limit.get(now),
             wait_us: u64::try_from(self.wait(self.queue.len(), now).as_micros())
                 .unwrap_or(u64::MAX),
+            link_us: 0,
             shed: self.refused.last_second(now),
             cold: self.limit.is_cold(now),
         }
@@ -287,6 +291,15 @@
         self.limit.get(now)
     }
 
+    /// Time after which a call that comes at `now` would be answered: its wait for a slot and the average
+    /// service time.
+    #[must_use]
+    pub fn expected(&self, demand: &Demand, now: Instant) -> Duration {
+        let service = Duration::try_from_secs_f64(self.service_time).unwrap_or(Duration::MAX);
+        let wait = self.wait(self.ahead(demand.rank(now)), now);
+        wait.saturating_add(service)
+    }
+
     fn shortest(&self) -> Duration {
         Duration::try_from_secs_f64(self.shortest).unwrap_or(Duration::MAX)
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`Picture`] chooses a target from [`Candidate`]s by [`Tier`], subset, load and recent failures.
 //! - [`Patience`] tells from the time that a caller leaves whether it has come back.
 //! - [`Admission`] decides by the [`Demand`] of a call whether a target takes a call, lets it wait or refuses it.
+//! - [`Egress`] decides by the rate of the link whether a large answer can be sent in time, and when its pieces go.
 //! - [`Presence`] decides whether an upstream may get calls.
 //! - [`Succession`] decides which start of an upstream gets calls.
 //! - [`Budget`] bounds retries, [`Bucket`] bounds keyed calls.
@@ -28,6 +29,7 @@
 mod budget;
 mod candidate;
 mod demand;
+mod egress;
 mod limit;
 mod load;
 mod patience;
@@ -41,6 +43,7 @@
 pub use budget::Budget;
 pub use candidate::{Candidate, Place, Tier};
 pub use demand::Demand;
+pub use egress::Egress;
 pub use load::Load;
 pub use patience::Patience;
 pub use picture::{Aim, Choice, Picture, Scope};
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -9,6 +9,8 @@
     pub slots: u32,
     /// Estimated wait for a slot, in microseconds.
     pub wait_us: u64,
+    /// Time that the large answers on their way out of the instance still need, in microseconds.
+    pub link_us: u64,
     /// Calls refused in the last second.
     pub shed: u32,
     /// Whether the target became ready less than 5 seconds ago.
--- a/crates/route/src/picture.rs
+++ b/crates/route/src/picture.rs
@@ -40,6 +40,10 @@
 /// near the worth of the answer.
 const BULK_DOMAIN_COST: f64 = 0.3;
 
+/// Wait for the link, in seconds, from which a target does not keep a call with a large answer in its
+/// tier.
+const LINK_BUSY: f64 = 0.3;
+
 /// Slowness from which a target does not keep a call in its tier.
 const SLOW: f64 = 2.5;
 
@@ -202,7 +206,9 @@
             usable(candidate) && !entry.is_some_and(|entry| entry.is_avoided(now))
         };
         let has_room = |candidate: &Candidate| {
-            self.load(candidate, now) < SPILL && self.slowness(candidate, now) < SLOW
+            self.load(candidate, now) < SPILL
+                && self.slowness(candidate, now) < SLOW
+                && self.link_time(candidate, aim, now) < LINK_BUSY
         };
         let near = tiers.iter().filter(|(tier, _)| *tier <= Tier::Region);
         for (tier, subset) in near {
@@ -378,7 +384,16 @@
         let load = self
             .get(candidate)
             .map_or(0.0, |entry| entry.load(candidate, 1, now));
-        aim.expected.as_secs_f64() * slowness * load.max(1.0)
+        let service = aim.expected.as_secs_f64() * slowness * load.max(1.0);
+        service.max(self.link_time(candidate, aim, now))
+    }
+
+    /// Time that a large answer waits for the link of the target's instance, in seconds.
+    fn link_time(&self, candidate: &Candidate, aim: &Aim<'_>, now: Instant) -> f64 {
+        let report = self.get(candidate).and_then(|entry| entry.report(now));
+        report.filter(|_| aim.scope.bulk).map_or(0.0, |load| {
+            Duration::from_micros(load.link_us).as_secs_f64()
+        })
     }
 
     fn load(&self, candidate: &Candidate, now: Instant) -> f64 {
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 
 use schema::section::{Kind, Section as Table};
-use schema::settings::{Calls, Listen, Log, Node, Retries, Spread, Stop, Store, Upstream};
+use schema::settings::{Calls, Link, Listen, Log, Node, Retries, Spread, Stop, Store, Upstream};
 use types::{Finding, Findings, id};
 
 use crate::Document;
@@ -24,13 +24,15 @@
     pub upstream: Upstream,
     /// Retries of the whole mesh.
     pub retries: Retries,
+    /// Network link of the instance.
+    pub link: Link,
     /// Planned stop.
     pub stop: Stop,
     /// Log output.
     pub log: Log,
 }
 
-const KINDS: [&str; 9] = [
+const KINDS: [&str; 10] = [
     Node::SECTION.name,
     Listen::SECTION.name,
     Store::SECTION.name,
@@ -38,6 +40,7 @@
     Calls::SECTION.name,
     Upstream::SECTION.name,
     Retries::SECTION.name,
+    Link::SECTION.name,
     Stop::SECTION.name,
     Log::SECTION.name,
 ];
@@ -59,6 +62,7 @@
             calls: document.fill(&Calls::SECTION, &mut findings),
             upstream: document.fill(&Upstream::SECTION, &mut findings),
             retries: document.fill(&Retries::SECTION, &mut findings),
+            link: document.fill(&Link::SECTION, &mut findings),
             stop: document.fill(&Stop::SECTION, &mut findings),
             log: document.fill(&Log::SECTION, &mut findings),
         };
@@ -77,6 +81,7 @@
             print(&Calls::SECTION, &self.calls),
             print(&Upstream::SECTION, &self.upstream),
             print(&Retries::SECTION, &self.retries),
+            print(&Link::SECTION, &self.link),
             print(&Stop::SECTION, &self.stop),
             print(&Log::SECTION, &self.log),
         ];
@@ -128,6 +133,7 @@
         for (key, text) in [
             ("retries.ratio", &self.retries.ratio),
             ("retries.slack", &self.retries.slack),
+            ("link.rate_mbit", &self.link.rate_mbit),
             ("stop.grace_s", &self.stop.grace_s),
         ] {
             let number = text.parse::<f64>();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -97,6 +97,8 @@
             dialect: Arc::clone(&adapter.dialect),
             announcement_life: ANNOUNCEMENT_LIFE,
             probes: false,
+            // The text was checked when the settings were read.
+            link: settings.load().link.rate_mbit.parse().unwrap_or_default(),
         };
         let target = Target::with_options(mesh.clone(), None, options);
         let accounts = Arc::new(Accounts::new());
--- a/crates/types/src/rate.rs
+++ b/crates/types/src/rate.rs
@@ -87,3 +87,45 @@
         }
     }
 }
+
+/// Rate of a network link, in bits a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Bandwidth(u64);
+
+/// Bits a second in one megabit a second.
+const MEGABIT: f64 = 1e6;
+
+impl Bandwidth {
+    /// Creates a rate in bits a second; zero stands for a link that is not bounded.
+    #[must_use]
+    pub const fn new(bits: u64) -> Self {
+        Self(bits)
+    }
+
+    /// The rate in bytes a second.
+    #[must_use]
+    pub const fn bytes(self) -> u64 {
+        self.0 / 8
+    }
+}
+
+impl Display for Bandwidth {
+    #[allow(clippy::cast_precision_loss, reason = "a rate needs no more than 52 bits")]
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{} Mbit/s", self.0 as f64 / MEGABIT)
+    }
+}
+
+impl FromStr for Bandwidth {
+    type Err = Invalid;
+
+    /// Reads a rate in Mbit/s, with or without the unit.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn from_str(text: &str) -> Result<Self, Invalid> {
+        let number = text.strip_suffix("Mbit/s").unwrap_or(text).trim();
+        match number.parse::<f64>() {
+            Ok(rate) if rate >= 0.0 && rate.is_finite() => Ok(Self((rate * MEGABIT) as u64)),
+            _ => Err(Invalid),
+        }
+    }
+}
