--- a/crates/bundle/src/bundle.rs
+++ b/crates/bundle/src/bundle.rs
@@ -3,7 +3,7 @@
 
 use types::{Digest, Findings, Timestamp, Version, id};
 
-use crate::{Delta, Rejection, Service, piece_digest, validate};
+use crate::{Delta, Rejection, Service, piece_digest, validate, validate_references};
 
 /// One whole version of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,6 +42,25 @@
         findings.or(Self::of(version, published, by_name.collect()))
     }
 
+    /// Creates a bundle from services that the platform's store has accepted. The limits of the product's
+    /// own files and store do not apply to them; names must be complete, so that no route points at a
+    /// service that is not there.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings of [`validate_references`].
+    pub fn accepted<I>(version: Version, published: Timestamp, services: I) -> Result<Self, Findings>
+    where
+        I: IntoIterator<Item: Into<Arc<Service>>>,
+    {
+        let services: Vec<Arc<Service>> = services.into_iter().map(Into::into).collect();
+        let findings = validate_references(services.iter().map(Arc::as_ref));
+        let by_name = services
+            .into_iter()
+            .map(|service| (service.name.clone(), service));
+        findings.or(Self::of(version, published, by_name.collect()))
+    }
+
     fn of(
         version: Version,
         published: Timestamp,
--- a/crates/bundle/src/folder.rs
+++ b/crates/bundle/src/folder.rs
@@ -38,7 +38,7 @@
             Some(own) if own < self.sources.len() => locate(&self.sources[own], finding),
             _ => finding,
         };
-        check(&services).into_iter().map(place).collect()
+        check(&services).findings.into_iter().map(place).collect()
     }
 }
 
--- a/crates/bundle/src/validate.rs
+++ b/crates/bundle/src/validate.rs
@@ -28,20 +28,36 @@
     I: IntoIterator<Item = &'a Service>,
 {
     let services: Vec<_> = services.into_iter().collect();
-    check(&services)
-        .into_iter()
-        .map(|(_, finding)| finding)
-        .collect()
+    check(&services).into_findings()
+}
+
+/// Finds what makes a configuration unusable whoever has checked it: services that are defined twice,
+/// routes to services that do not exist, and paths that no request can have.
+#[must_use]
+pub fn validate_references<'a, I>(services: I) -> Findings
+where
+    I: IntoIterator<Item = &'a Service>,
+{
+    let services: Vec<_> = services.into_iter().collect();
+    let mut report = Report::new(services.len());
+    for (index, service) in services.iter().enumerate() {
+        report.index = index;
+        report.file = &service.file;
+        for route in &service.routes {
+            if !route.path.starts_with('/') {
+                let message = format!("path `{}` does not start with `/`", route.path);
+                report.add(route_key(route, "path"), message, None);
+            }
+        }
+    }
+    check_names(&services, &mut report);
+    report.into_findings()
 }
 
 /// Finds every fault, with the index of the service concerned; the index is past the end when the
 /// fault concerns all services.
-pub(crate) fn check(services: &[&Service]) -> Vec<(usize, Finding)> {
-    let mut report = Report {
-        index: services.len(),
-        file: "all files",
-        findings: Vec::new(),
-    };
+pub(crate) fn check<'a>(services: &[&'a Service]) -> Report<'a> {
+    let mut report = Report::new(services.len());
     if services.len() > SERVICE_LIMIT {
         let message = format!("{} services are more than {SERVICE_LIMIT}", services.len());
         report.add(String::new(), message, None);
@@ -56,17 +72,32 @@
     }
     check_names(services, &mut report);
     check_overlaps(services, &mut report);
-    report.findings
+    report
 }
 
 /// Findings so far, and the service that is being checked.
-struct Report<'a> {
+pub(crate) struct Report<'a> {
     index: usize,
     file: &'a str,
-    findings: Vec<(usize, Finding)>,
+    pub(crate) findings: Vec<(usize, Finding)>,
 }
 
 impl Report<'_> {
+    const fn new(services: usize) -> Self {
+        Self {
+            index: services,
+            file: "all files",
+            findings: Vec::new(),
+        }
+    }
+
+    fn into_findings(self) -> Findings {
+        self.findings
+            .into_iter()
+            .map(|(_, finding)| finding)
+            .collect()
+    }
+
     fn add(&mut self, key: String, message: String, nearest: Option<String>) {
         let finding = Finding::new(self.file, message)
             .with_key(key)
