--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -137,7 +137,9 @@
             let choice = self.choose(plan, &candidates, &tried);
             let Some(choice) = choice else { break };
             if let Some(last) = &failure
-                && !(may_repeat(last, job, payload) && self.allows_retry(plan, arrived))
+                && !(is_worth(&choice, job)
+                    && may_repeat(last, job, payload)
+                    && self.allows_retry(plan, arrived))
             {
                 break;
             }
@@ -301,6 +303,14 @@
     Ok((job, payload))
 }
 
+/// Whether another target can be expected to answer in time to be of use, after one has refused or
+/// failed.
+fn is_worth(choice: &Choice, job: &Job) -> bool {
+    let now = Instant::now();
+    let objective = job.objective.filter(|objective| !objective.has_passed(now));
+    choice.time <= objective.unwrap_or(job.deadline).remaining(now)
+}
+
 /// Whether a call may be sent again after a failure.
 fn may_repeat(failure: &Failure, job: &Job, payload: &Payload) -> bool {
     let safe = match failure.outcome {
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -4,6 +4,7 @@
 use tokio::time::Instant;
 use types::{Deadline, size};
 
+use crate::demand::Order;
 use crate::{Demand, Load, limit::Limit};
 
 /// Part of the time that an objective leaves beside the service time which a call may wait. Service times
@@ -13,6 +14,10 @@
 /// Longest wait of a call that misses its objective anyway.
 const LATE_WAIT: Duration = Duration::from_millis(40);
 
+/// Time after which a call that misses its objective anyway leaves the queue, when others keep going
+/// before it.
+const LATE_LIMIT: Duration = Duration::from_millis(150);
+
 /// Part of the average service time that must be left before the deadline when a call begins.
 const SERVICE_SHARE: f64 = 0.5;
 
@@ -73,7 +78,8 @@
 struct Waiting {
     ticket: Ticket,
     deadline: Deadline,
-    rank: (u32, Instant),
+    order: Order,
+    arrived: Instant,
 }
 
 /// Admission of calls to one target: slots, a bounded queue and the estimated wait.
@@ -143,13 +149,14 @@
             Ok(()) => {
                 let ticket = Ticket(self.next_ticket);
                 self.next_ticket += 1;
-                let rank = demand.rank(now);
+                let order = self.order(&demand, now);
                 let waiting = Waiting {
                     ticket,
                     deadline: demand.deadline,
-                    rank,
+                    order,
+                    arrived: now,
                 };
-                self.queue.insert(self.ahead(rank), waiting);
+                self.queue.insert(self.ahead(order), waiting);
                 Decision::Wait(ticket)
             }
             Err(refusal) => {
@@ -172,7 +179,7 @@
         if self.queue.len() >= self.queue_limit.get() as usize {
             return Err(Refusal::QueueFull);
         }
-        let wait = self.wait(self.ahead(demand.rank(now)), now);
+        let wait = self.wait(self.ahead(self.order(demand, now)), now);
         if wait + self.shortest() >= demand.deadline.remaining(now) {
             return Err(Refusal::Slow);
         }
@@ -186,14 +193,18 @@
     /// those of the highest rank, which other calls depend on.
     fn longest_wait(&self, demand: &Demand, now: Instant) -> Option<Duration> {
         let objective = demand.objective.filter(|_| demand.priority > 0)?;
-        let service = Duration::try_from_secs_f64(self.service_time).unwrap_or(Duration::MAX);
+        let service = self.service();
         let spare = objective.remaining(now).saturating_sub(service);
         Some(spare.mul_f64(WAIT_SHARE).max(LATE_WAIT))
     }
 
-    /// Number of waiting calls that go before a call of this rank.
-    fn ahead(&self, rank: (u32, Instant)) -> usize {
-        self.queue.partition_point(|waiting| waiting.rank <= rank)
+    fn order(&self, demand: &Demand, now: Instant) -> Order {
+        demand.order(self.service(), now)
+    }
+
+    /// Number of waiting calls that go before a call of this order.
+    fn ahead(&self, order: Order) -> usize {
+        self.queue.partition_point(|waiting| waiting.order <= order)
     }
 
     /// Frees the slot of a call that was admitted and took `took`.
@@ -220,6 +231,10 @@
     /// Returns the ticket of each call that left the queue with its decision; call it after each
     /// change until it returns `None`.
     pub fn next(&mut self, now: Instant) -> Option<(Ticket, Result<(), Refusal>)> {
+        if let Some(ticket) = self.pop_overtaken(now) {
+            self.refused.count(now);
+            return Some((ticket, Err(Refusal::Busy)));
+        }
         let refusal = self.outdated(self.queue.front()?.deadline, now);
         if refusal.is_none() && self.in_use >= self.limit.get(now) {
             return None;
@@ -233,6 +248,17 @@
         Some((ticket, Ok(())))
     }
 
+    /// Takes the last call out of the queue when it is late and others have gone before it for long.
+    fn pop_overtaken(&mut self, now: Instant) -> Option<Ticket> {
+        let is_overtaken = |waiting: &mut Waiting| {
+            let waited = now.saturating_duration_since(waiting.arrived);
+            waiting.order.late && waited >= LATE_LIMIT
+        };
+        self.queue
+            .pop_back_if(is_overtaken)
+            .map(|waiting| waiting.ticket)
+    }
+
     /// Reason to refuse a call that waits in the queue.
     fn outdated(&self, deadline: Deadline, now: Instant) -> Option<Refusal> {
         if self.draining {
@@ -295,11 +321,16 @@
     /// service time.
     #[must_use]
     pub fn expected(&self, demand: &Demand, now: Instant) -> Duration {
-        let service = Duration::try_from_secs_f64(self.service_time).unwrap_or(Duration::MAX);
-        let wait = self.wait(self.ahead(demand.rank(now)), now);
+        let service = self.service();
+        let wait = self.wait(self.ahead(self.order(demand, now)), now);
         wait.saturating_add(service)
     }
 
+    /// Average service time.
+    fn service(&self) -> Duration {
+        Duration::try_from_secs_f64(self.service_time).unwrap_or(Duration::MAX)
+    }
+
     fn shortest(&self) -> Duration {
         Duration::try_from_secs_f64(self.shortest).unwrap_or(Duration::MAX)
     }
--- a/crates/route/src/demand.rs
+++ b/crates/route/src/demand.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use tokio::time::Instant;
 use types::Deadline;
 
@@ -23,9 +25,29 @@
         }
     }
 
-    /// Order in the queue: by rank, then by the objective or else by the arrival at `now`.
-    pub(crate) fn rank(&self, now: Instant) -> (u32, Instant) {
-        let time = self.objective.map_or(now, Deadline::instant);
-        (self.priority, time)
+    /// Order in the queue at `now` for a target that takes `service` for a call: by rank, then those that
+    /// can still meet their objective, then by the objective or else by the arrival.
+    ///
+    /// Under load the calls that are late already would otherwise go first and make all others late.
+    pub(crate) fn order(&self, service: Duration, now: Instant) -> Order {
+        Order {
+            priority: self.priority,
+            late: self.is_late(service, now),
+            time: self.objective.map_or(now, Deadline::instant),
+        }
+    }
+
+    /// Whether a call that begins at `now` and takes `service` misses its objective.
+    pub(crate) fn is_late(&self, service: Duration, now: Instant) -> bool {
+        let objective = self.objective;
+        objective.is_some_and(|objective| objective.remaining(now) < service)
     }
 }
+
+/// Place of a call in a queue; the lowest one goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Order {
+    priority: u32,
+    pub(crate) late: bool,
+    time: Instant,
+}
--- a/crates/route/src/picture.rs
+++ b/crates/route/src/picture.rs
@@ -93,6 +93,8 @@
     pub tier: Tier,
     /// Why this target was taken.
     pub reason: &'static str,
+    /// Time after which its answer is expected, the way included.
+    pub time: Duration,
 }
 
 /// What one node knows about the targets that it sends calls to.
@@ -255,11 +257,12 @@
             .iter()
             .filter(|(time, ..)| *time <= shortest + INDIFFERENCE)
             .collect();
-        let (_, tier, candidate) = near.get(rng.random_range(0..near.len()))?;
+        let (time, tier, candidate) = near.get(rng.random_range(0..near.len()))?;
         Some(Choice {
             candidate: (*candidate).clone(),
             tier: *tier,
             reason: "all targets busy",
+            time: Duration::try_from_secs_f64(*time).unwrap_or(Duration::MAX),
         })
     }
 
@@ -348,10 +351,12 @@
             .iter()
             .map(|index| pool[index])
             .min_by(|a, b| score(a).total_cmp(&score(b)))?;
+        let time = distance(tier, aim.scope.bulk) + self.time(candidate, aim, now);
         Some(Choice {
             candidate: candidate.clone(),
             tier,
             reason,
+            time: Duration::try_from_secs_f64(time).unwrap_or(Duration::MAX),
         })
     }
 
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -107,7 +107,7 @@
                         Refusal::Draining => draining,
                         Refusal::Late => late,
                         Refusal::Slow => !late,
-                        Refusal::QueueFull | Refusal::Busy => false,
+                        Refusal::QueueFull | Refusal::Busy | Refusal::Link => false,
                     });
                     self.ended += 1;
                 }
@@ -133,7 +133,7 @@
                     Refusal::Late => left_ms == 0,
                     Refusal::QueueFull => !room && self.waiting.len() >= QUEUE as usize,
                     Refusal::Slow => !room,
-                    Refusal::Busy => false,
+                    Refusal::Busy | Refusal::Link => false,
                 };
                 assert!(expected, "{refusal:?}");
                 self.ended += 1;
