Ask waiting watches anew when the store is back

Change: directory::Health notes what each call shows; a recovery ends the watches that wait. The test with a deaf watch failed before.

--- a/crates/directory/src/backend.rs
+++ b/crates/directory/src/backend.rs
@@ -7,6 +7,8 @@
 use futures::future::BoxFuture;
 use thiserror::Error;
 
+use crate::Health;
+
 /// Point in the history of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Revision(pub u64);
@@ -100,6 +102,8 @@
 /// The platform's store. Each call ends by itself within a few seconds, a watch within the time that
 /// the store lets it wait.
 pub struct Backend {
+    /// What the calls have shown about the store.
+    pub health: Health,
     /// Reads everything below a prefix.
     pub list: Call<String, Listing>,
     /// Waits for changes below a prefix after a revision. No changes is an answer, too.
--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -60,10 +60,15 @@
     let mut rests = true;
     loop {
         let next = Instant::now() + pace.interval;
+        let mut outlook = backend.health.outlook();
         let result = match reached {
             None => read(backend, prefix).await,
-            Some(revision) => watch(backend, prefix, revision).await,
+            Some(revision) => tokio::select! {
+                result = watch(backend, prefix, revision) => result,
+                () = outlook.wait_recovery() => continue,
+            },
         };
+        backend.health.note(&result);
         match result {
             Ok((update, revision)) => {
                 if !available {
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -34,6 +34,7 @@
 mod entry;
 mod follow;
 mod handle;
+mod health;
 mod publish;
 mod replica;
 mod versions;
@@ -42,5 +43,6 @@
 pub use entry::{Entry, UpstreamStart};
 pub use follow::{Pace, Update, follow};
 pub use handle::{Directory, Upstream};
+pub use health::Health;
 pub use replica::Replica;
 pub use versions::Versions;
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -53,6 +53,7 @@
             } else {
                 self.write().await
             };
+            self.shared.backend.health.note(&result);
             match result {
                 Ok(()) => {
                     written = true;
--- a/crates/directory/tests/versions.rs
+++ b/crates/directory/tests/versions.rs
@@ -2,12 +2,14 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use directory::{Pace, Versions};
+use directory::{Directory, Pace, Upstream, UpstreamStart, Versions};
+use member::{Record, State};
 use standin::Memory;
 use tokio::time::sleep;
-use types::Version;
+use types::{Incarnation, Timestamp, Version, size};
 
 const PACE: Pace = Pace {
     interval: Duration::from_millis(1200),
@@ -81,3 +83,46 @@
     sleep(Duration::from_millis(2500)).await;
     assert_eq!(versions.get().as_deref(), Some(&2));
 }
+
+/// Guards against a watch that has survived an outage and never hears of the version that was written
+/// meanwhile, while other calls show that the store is back.
+#[tokio::test(start_paused = true)]
+async fn a_deaf_watch_is_asked_anew_when_the_store_is_back() {
+    let store = Memory::default();
+    store.set("op/config", b"1");
+    let backend = store.backend();
+    let versions = Versions::start(Arc::clone(&backend), "op/config", PACE, decode);
+    let directory = Directory::start(backend, "mesh/", PACE, record());
+    directory.set_upstream(Some(upstream()));
+    sleep(Duration::from_secs(4)).await;
+    store.deafen_watches();
+    store.set_down(true);
+    store.set("op/config", b"2");
+    sleep(Duration::from_secs(5)).await;
+    store.set_down(false);
+    sleep(Duration::from_millis(2500)).await;
+    assert_eq!(versions.get().as_deref(), Some(&2));
+}
+
+fn record() -> Record {
+    Record::new(
+        "n1".parse().unwrap(),
+        "127.0.0.1:8081".parse().unwrap(),
+        "north".parse().unwrap(),
+        "north-a".parse().unwrap(),
+        Incarnation::new(1),
+    )
+}
+
+fn upstream() -> Upstream {
+    Upstream {
+        service: "renewals".parse().unwrap(),
+        slots: size::Slots::new(12),
+        state: State::Ready,
+        start: UpstreamStart {
+            instance: "i-1".to_owned(),
+            started: Timestamp::new(7),
+            address: None,
+        },
+    }
+}
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use directory::{Backend, Change, Error, Item, Lease, LeaseId, Listing, Revision};
+use directory::{Backend, Change, Error, Health, Item, Lease, LeaseId, Listing, Revision};
 use futures::FutureExt;
 use tokio::sync::watch;
 
@@ -27,6 +27,8 @@
     leases: BTreeSet<u64>,
     next_lease: u64,
     down: bool,
+    /// Watches that began before this one wait without an answer.
+    deaf: usize,
     /// Puts that are done and not answered.
     lost: usize,
     calls: BTreeMap<&'static str, usize>,
@@ -39,6 +41,7 @@
         let (list, watch, grant) = (self.clone(), self.clone(), self.clone());
         let (renew, put) = (self.clone(), self.clone());
         Arc::new(Backend {
+            health: Health::default(),
             list: Box::new(move |prefix| {
                 let store = list.clone();
                 async move { store.list(&prefix) }.boxed()
@@ -106,6 +109,13 @@
         self.lock().down = down;
     }
 
+    /// Lets the watches that wait now never answer, as after an outage in which their connections stayed
+    /// open.
+    pub fn deafen_watches(&self) {
+        let mut state = self.lock();
+        state.deaf = state.calls.get("watch").copied().unwrap_or_default();
+    }
+
     /// Does the next writes and does not answer them.
     pub fn lose_puts(&self, count: usize) {
         self.lock().lost = count;
@@ -156,12 +166,15 @@
 
     async fn watch(&self, prefix: &str, after: u64) -> Result<(Vec<Change>, Revision), Error> {
         let mut revisions = self.revision.subscribe();
-        drop(self.called("watch")?);
+        let number = {
+            let state = self.called("watch")?;
+            state.calls.get("watch").copied().unwrap_or_default()
+        };
         let until = tokio::time::Instant::now() + WATCH_WAIT;
         loop {
             {
                 let state = self.lock();
-                if state.down {
+                if state.down && number > state.deaf {
                     return Err(Error::Unavailable("cut".to_owned()));
                 }
                 if after < state.compacted {
@@ -175,7 +188,7 @@
                     *at > after && key.starts_with(prefix)
                 });
                 let changes: Vec<_> = new.map(|(_, change)| change.clone()).collect();
-                if !changes.is_empty() {
+                if !changes.is_empty() && number > state.deaf {
                     return Ok((changes, Revision(*revisions.borrow_and_update())));
                 }
             }
