--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -27,7 +27,7 @@
 /// Shortest time between two watches of the entries. Calls to a target that has left meanwhile are
 /// refused by the node beside it and go elsewhere.
 const ENTRY_PACE: Pace = Pace {
-    interval: Duration::from_millis(1500),
+    interval: Duration::from_millis(3000),
     rereads: false,
 };
 
