--- a/crates/bundle/src/bundle.rs
+++ b/crates/bundle/src/bundle.rs
@@ -49,7 +49,11 @@
     /// # Errors
     ///
     /// Returns all findings of [`validate_references`].
-    pub fn accepted<I>(version: Version, published: Timestamp, services: I) -> Result<Self, Findings>
+    pub fn accepted<I>(
+        version: Version,
+        published: Timestamp,
+        services: I,
+    ) -> Result<Self, Findings>
     where
         I: IntoIterator<Item: Into<Arc<Service>>>,
     {
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -50,4 +50,6 @@
 pub use service::{Service, piece_digest};
 pub use source::Source;
 pub use step::Step;
-pub use validate::{METHODS, PATH_LIMIT, PIECE_LIMIT, SERVICE_LIMIT, validate, validate_references};
+pub use validate::{
+    METHODS, PATH_LIMIT, PIECE_LIMIT, SERVICE_LIMIT, validate, validate_references,
+};
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -222,7 +222,12 @@
         );
         let usable = Upstream::usable_slots(slots, connections);
         let life = self.options.announcement_life;
-        Local::new(announcement, Gate::new(usable, queue, Arc::clone(&self.outbound)), upstream, life)
+        Local::new(
+            announcement,
+            Gate::new(usable, queue, Arc::clone(&self.outbound)),
+            upstream,
+            life,
+        )
     }
 
     fn publish(&self) {
--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -109,6 +109,14 @@
         self.shared.has_read()
     }
 
+    /// Waits until the entries of the other nodes are known; false when they are not by the deadline.
+    pub async fn wait_ready(&self, deadline: Deadline) -> bool {
+        let reading = self.shared.wait_earlier();
+        tokio::time::timeout_at(deadline.instant(), reading)
+            .await
+            .is_ok()
+    }
+
     /// Ready targets of a service.
     #[must_use]
     pub fn targets(&self, service: &id::Service) -> Vec<Candidate> {
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -179,6 +179,10 @@
         if self.queue.len() >= self.queue_limit.get() as usize {
             return Err(Refusal::QueueFull);
         }
+        // Nothing is known of the wait before the first call has ended.
+        if self.service_time == 0.0 && self.queue.len() >= self.limit.get(now) as usize {
+            return Err(Refusal::QueueFull);
+        }
         let wait = self.wait(self.ahead(self.order(demand, now)), now);
         if wait + self.shortest() >= demand.deadline.remaining(now) {
             return Err(Refusal::Slow);
--- a/crates/route/src/egress.rs
+++ b/crates/route/src/egress.rs
@@ -37,7 +37,10 @@
 impl Egress {
     /// Creates the egress of an instance at `now`.
     #[must_use]
-    #[allow(clippy::cast_precision_loss, reason = "a rate needs no more than 52 bits")]
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "a rate needs no more than 52 bits"
+    )]
     pub fn new(link: Bandwidth, now: Instant) -> Self {
         Self {
             rate: link.bytes() as f64 * BULK_SHARE,
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -87,6 +87,8 @@
     now: Instant,
     running: u32,
     waiting: VecDeque<(Ticket, Deadline)>,
+    /// Whether a call has ended, so that the service time is known.
+    measured: bool,
     ended: usize,
 }
 
@@ -115,6 +117,17 @@
         }
     }
 
+    /// Calls that may wait; no more than run while the service time is not known.
+    fn queue_limit(&self) -> usize {
+        let limit = self.admission.limit(self.now);
+        let queue = if self.measured {
+            QUEUE
+        } else {
+            QUEUE.min(limit)
+        };
+        queue as usize
+    }
+
     fn arrive(&mut self, left_ms: u64, draining: bool) {
         let deadline = Deadline::new(self.now + Duration::from_millis(left_ms));
         let room = self.running < self.admission.limit(self.now) && self.waiting.is_empty();
@@ -131,7 +144,7 @@
                 let expected = match refusal {
                     Refusal::Draining => draining,
                     Refusal::Late => left_ms == 0,
-                    Refusal::QueueFull => !room && self.waiting.len() >= QUEUE as usize,
+                    Refusal::QueueFull => !room && self.waiting.len() >= self.queue_limit(),
                     Refusal::Slow => !room,
                     Refusal::Busy | Refusal::Link => false,
                 };
@@ -154,6 +167,7 @@
             now: start,
             running: 0,
             waiting: VecDeque::new(),
+            measured: false,
             ended: 0,
         }
     }
@@ -165,6 +179,7 @@
             Step::Complete { took_ms } if run.running > 0 => {
                 run.admission.complete(Duration::from_millis(took_ms));
                 run.running -= 1;
+                run.measured = true;
                 run.ended += 1;
             }
             Step::Release if run.running > 0 => {
@@ -283,3 +298,55 @@
     admission.set_doubted(true);
     assert_eq!(admission.limit(after(60.0)), 1);
 }
+
+/// Guards against a queue that fills without bound at a target of which no service time is known, so that
+/// each call in it is late.
+#[test]
+fn a_queue_of_unknown_wait_is_short() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(6);
+    let mut admission = Admission::new(size::Slots::new(2), size::Queue::new(100), start);
+    let admit = |admission: &mut Admission| {
+        admission.admit(
+            Demand::new(Deadline::new(now + Duration::from_secs(60))),
+            now,
+        )
+    };
+    for _ in 0..2 {
+        assert_eq!(admit(&mut admission), Decision::Admit);
+    }
+    for _ in 0..2 {
+        assert!(matches!(admit(&mut admission), Decision::Wait(_)));
+    }
+    assert_eq!(admit(&mut admission), Decision::Refuse(Refusal::QueueFull));
+    admission.complete(Duration::from_millis(10));
+    while admission.next(now).is_some() {}
+    assert!(matches!(admit(&mut admission), Decision::Wait(_)));
+}
+
+/// Guards against calls that have missed their objective and make the others miss theirs.
+#[test]
+fn late_calls_wait_behind_those_in_time() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(6000 + ms);
+    let mut admission = Admission::new(size::Slots::new(1), size::Queue::new(100), start);
+    let demand = |objective: u64| Demand {
+        deadline: Deadline::new(at(5000)),
+        objective: Some(Deadline::new(at(objective))),
+        priority: 0,
+    };
+    assert_eq!(admission.admit(demand(1000), at(0)), Decision::Admit);
+    admission.complete(Duration::from_millis(100));
+    assert_eq!(admission.admit(demand(1000), at(0)), Decision::Admit);
+    let Decision::Wait(late) = admission.admit(demand(50), at(0)) else {
+        panic!("a call of the highest rank waits");
+    };
+    let Decision::Wait(in_time) = admission.admit(demand(1000), at(1)) else {
+        panic!("a call of the highest rank waits");
+    };
+    admission.complete(Duration::from_millis(100));
+    assert_eq!(admission.next(at(100)), Some((in_time, Ok(()))));
+    assert_eq!(admission.next(at(100)), None);
+    // A late call does not stay in the queue while others go before it.
+    assert_eq!(admission.next(at(200)), Some((late, Err(Refusal::Busy))));
+}
--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -22,6 +22,10 @@
 /// process at once; the store makes it outlast a restart.
 const RECORD_LIMIT: Duration = Duration::from_millis(600);
 
+/// Longest time that an announcement waits until the entries of nodes are known. Its sender takes an
+/// acknowledgement that comes within a second; the next announcement follows about a second later.
+const DIRECTORY_LIMIT: Duration = Duration::from_millis(800);
+
 /// Answers one message.
 pub(crate) async fn answer(
     node: Arc<Node>,
@@ -61,14 +65,17 @@
 }
 
 async fn hear(node: &Node, notice: &Notice, announcement: Announcement) {
-    // A late announcement of a start that left an earlier process of this node must not count.
     if !node.directory.is_ready() {
         if notice.stage == Stage::Draining {
             // The entry of an earlier process may name this start as the one that gets the calls.
             node.depart(&notice.instance, Some(notice.started));
         }
-        log::info!(instance:% = notice.instance; "announcement before the directory is known");
-        return;
+        // A late announcement of a start that left an earlier process of this node must not count.
+        let limit = Deadline::after(DIRECTORY_LIMIT);
+        if !node.directory.wait_ready(limit).await {
+            log::info!(instance:% = notice.instance; "announcement before the directory is known");
+            return;
+        }
     }
     let standing = node.announce(notice);
     match standing {
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -9,8 +9,8 @@
 
 use crate::Node;
 
-/// Time for which callers may still send requests after the node has said that it is not ready. They
-/// learn about it within two seconds.
+/// Time for which callers and other nodes may still send requests after the node has said that it is not
+/// ready. Callers learn about it within two seconds, nodes at their next look at the entries.
 const FAREWELL: Duration = Duration::from_millis(2600);
 
 /// Part of the grace time that is left for the end of the process, which may have little processor time.
@@ -25,13 +25,12 @@
     log::info!(exchanges = callers.exchanges(), grace:?; "stopping");
     node.set_stopping();
     callers.drain();
+    sleep_until(start + FAREWELL.min(grace / 2)).await;
+    node.close();
     let draining = node.target.drain(end);
-    let serving = async {
-        sleep_until(start + FAREWELL.min(grace / 2)).await;
-        node.close();
-        timeout_at(end.instant(), callers.wait_idle()).await.is_ok()
-    };
-    let (running, delivered) = tokio::join!(draining, serving);
+    let serving = timeout_at(end.instant(), callers.wait_idle());
+    let (running, served) = tokio::join!(draining, serving);
+    let delivered = served.is_ok();
     if running > 0 || !delivered {
         let exchanges = callers.exchanges();
         log::warn!(exchanges, target = running; "grace time is over with calls in flight");
--- a/crates/sidecar/tests/nodes.rs
+++ b/crates/sidecar/tests/nodes.rs
@@ -266,6 +266,23 @@
     assert!(unserved.contains("come-back-ms: 80"), "{unserved}");
 }
 
+/// Guards against an announcement that is acknowledged and forgotten because it came before the entries
+/// were read: after a restart of all machines the upstream then got nothing until its next one.
+#[tokio::test]
+async fn an_announcement_counts_that_comes_before_the_store_is_read() {
+    let store = Memory::default();
+    store.set("op/config", b"1");
+    store.set_down(true);
+    let node = start(&store, "a").await;
+    let upstream = upstream();
+    let back = async {
+        sleep(Duration::from_millis(100)).await;
+        store.set_down(false);
+    };
+    tokio::join!(upstream.beat(&node, "i-1", 1, "ready"), back);
+    wait_status(node.callers, "GET /status/1", "200").await;
+}
+
 /// Guards against work for an upstream that drains or has taken its leave, which a late announcement
 /// brings back.
 #[tokio::test]
--- a/crates/types/src/rate.rs
+++ b/crates/types/src/rate.rs
@@ -110,7 +110,10 @@
 }
 
 impl Display for Bandwidth {
-    #[allow(clippy::cast_precision_loss, reason = "a rate needs no more than 52 bits")]
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "a rate needs no more than 52 bits"
+    )]
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{} Mbit/s", self.0 as f64 / MEGABIT)
     }
