--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -170,7 +170,11 @@
 
     /// Notes the start of the upstream that has taken its leave.
     pub fn set_departed(&self, departed: UpstreamStart) {
-        self.change(|entry| entry.departed = Some(departed));
+        // A departure binds the next process, so it is kept while this one stops as well.
+        self.shared.own.send_modify(|entry| {
+            entry.departed = Some(departed);
+            entry.record.sequence += 1;
+        });
     }
 
     /// Ends the tasks. The entry stays until its lease runs out, so that a process which starts again
--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -170,3 +170,22 @@
     replica.put("mesh/a", record("a"));
     assert_eq!(live(&replica, 60_000), 1);
 }
+
+/// Guards against a departure that comes while the node stops and is lost: the next process then takes up
+/// the start that has taken its leave and sends work to it.
+#[tokio::test(start_paused = true)]
+async fn a_departure_during_a_stop_outlasts_the_process() {
+    let store = Memory::default();
+    let stopping = start(&store, "a").await;
+    stopping.drain();
+    stopping.set_departed(UpstreamStart {
+        instance: "i-1".to_owned(),
+        started: Timestamp::new(7),
+        address: None,
+    });
+    assert!(stopping.flush(Deadline::after_ms(5000)).await);
+    stopping.close();
+    let next = Directory::start(store.backend(), "mesh/", PACE, record("a"));
+    let earlier = next.earlier().await.unwrap();
+    assert_eq!(earlier.departed.unwrap().instance, "i-1");
+}
