Ask a new connection for an answer before a call that must not be repeated

A system or a proxy accepts connections for a process that is gone, and unsafe calls ended as 502 in place of going elsewhere. Change: a connection is fresh once the peer has answered a ping.

--- a/crates/wire/src/liveness.rs
+++ b/crates/wire/src/liveness.rs
@@ -25,8 +25,9 @@
 pub(crate) struct Liveness {
     /// Streams that are open.
     streams: watch::Sender<usize>,
-    /// When the peer was last known to answer.
-    answered: watch::Sender<Instant>,
+    /// When the peer was last known to answer; `None` on a connection that has had no answer yet. A system
+    /// accepts connections for a process that is paused or gone.
+    answered: watch::Sender<Option<Instant>>,
     /// Asks for a ping now.
     wake: Notify,
     /// Number of reads that brought bytes from the peer.
@@ -37,7 +38,7 @@
     pub(crate) fn new() -> Self {
         Self {
             streams: watch::Sender::new(0),
-            answered: watch::Sender::new(Instant::now()),
+            answered: watch::Sender::new(None),
             wake: Notify::new(),
             reads: AtomicU64::new(0),
         }
@@ -56,9 +57,10 @@
         self.reads.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Whether the peer is being pinged, or answered within [`PING_INTERVAL`].
+    /// Whether the peer has answered and is being pinged, or answered within [`PING_INTERVAL`].
     pub(crate) fn is_fresh(&self) -> bool {
-        *self.streams.borrow() > 0 || self.answered.borrow().elapsed() < PING_INTERVAL
+        let answered = *self.answered.borrow();
+        answered.is_some_and(|at| *self.streams.borrow() > 0 || at.elapsed() < PING_INTERVAL)
     }
 
     /// Waits for the answer to a ping that is sent now.
@@ -79,7 +81,7 @@
             if !self.ping(&mut pings).await {
                 return;
             }
-            self.answered.send_replace(Instant::now());
+            self.answered.send_replace(Some(Instant::now()));
             tokio::select! {
                 () = sleep(PING_INTERVAL) => {}
                 () = self.wake.notified() => self.wake.notify_one(),
