--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -119,6 +119,7 @@
             ("listen.ready", &listen.ready),
             ("listen.announcements", &listen.announcements),
             ("listen.metrics", &listen.metrics),
+            ("listen.advertised", &listen.advertised),
             ("upstream.address", &self.upstream.address),
         ];
         let addresses = addresses
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -27,7 +27,7 @@
 /// Shortest time between two watches of the entries. Calls to a target that has left meanwhile are
 /// refused by the node beside it and go elsewhere.
 const ENTRY_PACE: Pace = Pace {
-    interval: Duration::from_millis(3000),
+    interval: Duration::from_secs(3),
     rereads: false,
 };
 
@@ -252,11 +252,14 @@
 
 /// First record of this process.
 fn record(settings: &Settings) -> Result<Record, Error> {
-    let peers = &settings.listen.peers;
+    let peers = match settings.listen.advertised.as_str() {
+        "" => settings.listen.peers.as_str(),
+        advertised => advertised,
+    };
     let address = peers.parse();
     Ok(Record::new(
         settings.node.id.parse()?,
-        address.map_err(|_| Error::Address(peers.clone()))?,
+        address.map_err(|_| Error::Address(peers.to_owned()))?,
         settings.node.region.parse()?,
         settings.node.domain.parse()?,
         Incarnation::new(Timestamp::now().get()),
