--- a/crates/call/src/exchange.rs
+++ b/crates/call/src/exchange.rs
@@ -74,11 +74,11 @@
     }
 }
 
-/// Opens a stream. A call that must not be repeated goes over a connection that has answered lately;
-/// for the others a ping beside the call is enough.
+/// Opens a stream. A call that must not be repeated goes over a connection that has answered lately; for the
+/// others a ping beside the call is enough once the connection has answered at all.
 async fn open(connection: &Connection, job: &Job) -> Result<Stream, Failure> {
     let opening = async {
-        if !job.repeatable {
+        if !job.repeatable || !connection.has_answered() {
             connection.check(job.deadline).await?;
         }
         connection.open(wire::Kind::Call).await
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -93,6 +93,13 @@
         let _ = self.closed.clone().wait_for(|closed| *closed).await;
     }
 
+    /// Whether the peer has ever answered. A system or a proxy accepts connections for a process that is
+    /// paused or gone.
+    #[must_use]
+    pub fn has_answered(&self) -> bool {
+        self.liveness.has_answered()
+    }
+
     /// Checks with a ping that the peer answers, unless it did within [`PING_INTERVAL`](crate::PING_INTERVAL).
     /// A connection may go silent while it is idle.
     ///
--- a/crates/wire/src/liveness.rs
+++ b/crates/wire/src/liveness.rs
@@ -63,6 +63,10 @@
         answered.is_some_and(|at| *self.streams.borrow() > 0 || at.elapsed() < PING_INTERVAL)
     }
 
+    pub(crate) fn has_answered(&self) -> bool {
+        self.answered.borrow().is_some()
+    }
+
     /// Waits for the answer to a ping that is sent now.
     pub(crate) async fn wait_answer(&self) {
         let mut answered = self.answered.subscribe();
