--- a/crates/bundle/src/bundle.rs
+++ b/crates/bundle/src/bundle.rs
@@ -34,12 +34,9 @@
     where
         I: IntoIterator<Item: Into<Arc<Service>>>,
     {
-        let services: Vec<Arc<Service>> = services.into_iter().map(Into::into).collect();
-        let findings = validate(services.iter().map(Arc::as_ref));
-        let by_name = services
-            .into_iter()
-            .map(|service| (service.name.clone(), service));
-        findings.or(Self::of(version, published, by_name.collect()))
+        let services = services.into_iter().map(Into::into).collect();
+        let findings = |services: &[Arc<Service>]| validate(services.iter().map(Arc::as_ref));
+        Self::checked(version, published, services, findings)
     }
 
     /// Creates a bundle from services that the platform's store has accepted. The limits of the product's
@@ -57,8 +54,22 @@
     where
         I: IntoIterator<Item: Into<Arc<Service>>>,
     {
-        let services: Vec<Arc<Service>> = services.into_iter().map(Into::into).collect();
-        let findings = validate_references(services.iter().map(Arc::as_ref));
+        let services = services.into_iter().map(Into::into).collect();
+        let findings =
+            |services: &[Arc<Service>]| validate_references(services.iter().map(Arc::as_ref));
+        Self::checked(version, published, services, findings)
+    }
+
+    fn checked<C>(
+        version: Version,
+        published: Timestamp,
+        services: Vec<Arc<Service>>,
+        check: C,
+    ) -> Result<Self, Findings>
+    where
+        C: FnOnce(&[Arc<Service>]) -> Findings,
+    {
+        let findings = check(&services);
         let by_name = services
             .into_iter()
             .map(|service| (service.name.clone(), service));
--- a/crates/call/tests/outbound.rs
+++ b/crates/call/tests/outbound.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use support::{Behaviour, Upstream, World, pack, service, status};
+use support::{Behaviour, Node, Upstream, World, pack, service, status};
 use tokio::time::{Instant, sleep};
 use types::{Deadline, Outcome};
 
@@ -17,16 +17,22 @@
 /// Link of 4 Mbit/s, which gives 400,000 bytes a second to large answers: one takes 250 ms.
 const LINK: &str = "4 Mbit/s";
 
-/// Guards against a link that is given more large answers than it can send by their objective, so that all
-/// of them come late; those beyond are refused before they run.
-#[tokio::test]
-async fn answers_that_the_link_cannot_send_in_time_are_refused() {
+/// A caller's node and a target behind the slow link.
+async fn start() -> (Upstream, Node, Node) {
     let world = World::new(service());
     let upstream = Upstream::start(Behaviour::Echo(LENGTH)).await;
-    let _target = world
+    let target = world
         .target_behind("b", upstream.address(), LINK.parse().unwrap())
         .await;
     let caller = world.node("a", None).await;
+    (upstream, target, caller)
+}
+
+/// Guards against a link that is given more large answers than it can send by their objective, so that all
+/// of them come late; those beyond are refused before they run.
+#[tokio::test]
+async fn answers_that_the_link_cannot_send_in_time_are_refused() {
+    let (_upstream, _target, caller) = start().await;
     // One answer shows the target's node how large they are.
     let first = caller.caller.call(pack("first")).await;
     assert_eq!(first.outcome, Outcome::Ran);
@@ -59,12 +65,7 @@
 /// large answers hold while they wait for the link.
 #[tokio::test]
 async fn small_answers_do_not_wait_for_large_ones() {
-    let world = World::new(service());
-    let upstream = Upstream::start(Behaviour::Echo(LENGTH)).await;
-    let target = world
-        .target_behind("b", upstream.address(), LINK.parse().unwrap())
-        .await;
-    let caller = world.node("a", None).await;
+    let (upstream, target, caller) = start().await;
     let large = tokio::spawn({
         let caller = caller.caller.clone();
         async move {
@@ -93,12 +94,7 @@
 /// already. A stopping node cut them off in the middle.
 #[tokio::test]
 async fn a_drain_waits_for_large_answers() {
-    let world = World::new(service());
-    let upstream = Upstream::start(Behaviour::Echo(LENGTH)).await;
-    let target = world
-        .target_behind("b", upstream.address(), LINK.parse().unwrap())
-        .await;
-    let caller = world.node("a", None).await;
+    let (_upstream, target, caller) = start().await;
     let answer = caller.caller.call(pack("p0")).await;
     assert_eq!(answer.outcome, Outcome::Ran);
     let body = tokio::spawn(answer.body.read());
