Refuse bad bytes from targets, other writers and clients

Reports of operators: odd entries and heartbeats stopped nodes or the use of a true target, and a refusal written twice was taken for the refusal of a later request.

- A heartbeat without a port, with too many slots, of another instance, of an unknown service or with a start in the future is refused with 400 and its reason; it had replaced the true target.
A sequence number that is too large is forgotten after 5 s of silence.
A message over 64 KB gets 413 instead of a closed connection.
- Heads of answers are limited to 64 KB, the part of a large answer that is read ahead to 1 MB, and the body of a refusal to 100 ms: a target may send any of them without end.

--- a/crates/call/src/connection.rs
+++ b/crates/call/src/connection.rs
@@ -27,6 +27,10 @@
 /// reused.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Size of the read buffer, which also limits the head of an answer. An upstream may send a head
+/// without end.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Connection to an upstream, which carries one request at a time. Dropping it closes the socket.
 pub(crate) struct Connection {
     sender: SendRequest<Body>,
@@ -49,6 +53,7 @@
         let socket = TcpStream::connect(address).await?;
         socket.set_nodelay(true)?;
         let (sender, driver) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
             .await
             .map_err(io::Error::other)?;
--- a/crates/call/src/shaper.rs
+++ b/crates/call/src/shaper.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use futures::stream::{BoxStream, StreamExt};
 use route::{Egress, Refusal, Requirements};
-use tokio::sync::{Semaphore, SemaphorePermit, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, SemaphorePermit, mpsc};
 use tokio::time::{Instant, sleep_until};
 use tokio_stream::wrappers::ReceiverStream;
 use types::rate::Bandwidth;
@@ -22,6 +22,9 @@
 /// upstream while it waits for the link.
 const READ_AHEAD_CHUNKS: usize = 128;
 
+/// Bytes of an answer that are read ahead. An upstream may send a body without end.
+const READ_AHEAD_BYTES: usize = 1024 * 1024;
+
 /// Traffic shaper for the large answers that share the link of this instance.
 pub(crate) struct Shaper {
     egress: Mutex<Egress>,
@@ -116,6 +119,7 @@
     mut chunks: BoxStream<'static, Result<Bytes, BodyError>>,
 ) -> BoxStream<'static, Result<Bytes, BodyError>> {
     let (sender, receiver) = mpsc::channel(READ_AHEAD_CHUNKS);
+    let budget = Arc::new(Semaphore::new(READ_AHEAD_BYTES));
     tokio::spawn(async move {
         loop {
             let chunk = tokio::select! {
@@ -123,10 +127,27 @@
                 () = sender.closed() => return,
             };
             let Some(chunk) = chunk else { return };
-            if sender.send(chunk).await.is_err() {
+            let permit = tokio::select! {
+                permit = reserve(&budget, &chunk) => permit,
+                () = sender.closed() => return,
+            };
+            if sender.send((chunk, permit)).await.is_err() {
                 return;
             }
         }
     });
-    ReceiverStream::new(receiver).boxed()
+    ReceiverStream::new(receiver)
+        .map(|(chunk, _)| chunk)
+        .boxed()
+}
+
+/// Waits until a chunk fits into the read-ahead buffer.
+async fn reserve(
+    budget: &Arc<Semaphore>,
+    chunk: &Result<Bytes, BodyError>,
+) -> Option<OwnedSemaphorePermit> {
+    let size = chunk.as_ref().map_or(0, Bytes::len).min(READ_AHEAD_BYTES);
+    let size = u32::try_from(size).unwrap_or(u32::MAX);
+    // The semaphore is never closed.
+    Arc::clone(budget).acquire_many_owned(size).await.ok()
 }
--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use route::Probe;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use types::{Deadline, size};
 
 use crate::connection::{self, Body, Connection};
@@ -24,6 +24,10 @@
 /// Largest body of a refusal that is read so that its connection can be reused.
 const MAX_REFUSAL_BODY_BYTES: usize = 16 * 1024;
 
+/// Longest time for reading the body of a refusal. An upstream may send one without end, and the
+/// refusal is known from its head.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Headers that apply to one connection only or that the node sets itself. An `expect` is not
 /// forwarded because the node has satisfied it by reading the body.
 const HOP_HEADERS: [HeaderName; 9] = [
@@ -165,7 +169,7 @@
             }),
             AnswerKind::Refused { reason, overloaded } => {
                 let body = Limited::new(response.into_body(), MAX_REFUSAL_BODY_BYTES);
-                if body.collect().await.is_ok() {
+                if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body.collect()).await {
                     self.release(connection).await;
                 }
                 Err(SendError::Rejected { reason, overloaded })
--- a/crates/call/tests/support/upstream.rs
+++ b/crates/call/tests/support/upstream.rs
@@ -33,8 +33,19 @@
     SilentInBody,
     /// Answers as `Echo` without padding, after this time.
     Slow(Duration),
+    /// Sends the first text, then the second one over and over until the client closes the
+    /// connection.
+    Endless(&'static str, &'static str),
+    /// As `Endless`, but sends the second text only every 20 ms.
+    EndlessSlow(&'static str, &'static str),
 }
 
+/// Size of one write of [`Behaviour::Endless`].
+const ENDLESS_WRITE_BYTES: usize = 64 * 1024;
+
+/// Interval of the writes of [`Behaviour::EndlessSlow`].
+const ENDLESS_WRITE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Upstream that speaks HTTP on raw sockets, so that it can stop at any byte. It counts each
 /// request that arrived completely as a run, unless it sheds the request.
 #[derive(Clone)]
@@ -203,9 +214,37 @@
     (count > 0).then_some(())
 }
 
+/// Sends `first`, then `unit` over and over until the client closes the connection, for at most a
+/// minute.
+async fn send_endless(socket: &mut TcpStream, first: &str, unit: &str, pause: Duration) {
+    let unit = if pause.is_zero() {
+        unit.repeat(ENDLESS_WRITE_BYTES / unit.len())
+    } else {
+        unit.to_owned()
+    };
+    let sending = async {
+        let mut text = first;
+        while socket.write_all(text.as_bytes()).await.is_ok() {
+            tokio::time::sleep(pause).await;
+            text = &unit;
+        }
+    };
+    let _ = tokio::time::timeout(Duration::from_mins(1), sending).await;
+}
+
 /// Answers one request; returns false if the connection must be closed.
 async fn answer(state: &State, socket: &mut TcpStream, head: &Received) -> bool {
     let behaviour = state.behaviour.lock().unwrap().clone();
+    let endless = match behaviour {
+        Behaviour::Endless(first, unit) => Some((first, unit, Duration::ZERO)),
+        Behaviour::EndlessSlow(first, unit) => Some((first, unit, ENDLESS_WRITE_INTERVAL)),
+        _ => None,
+    };
+    if let Some((first, unit, pause)) = endless {
+        send_endless(socket, first, unit, pause).await;
+        state.closed_early.fetch_add(1, Ordering::SeqCst);
+        return false;
+    }
     let mut content = format!("{}\n", head.id).into_bytes();
     content.extend_from_slice(&head.body);
     if let Behaviour::Echo(length) = behaviour {
@@ -239,7 +278,10 @@
             [b"HTTP/1.1 200 OK\r\n\r\n".as_slice(), half].concat(),
             false,
         ),
-        Behaviour::CloseBeforeHead | Behaviour::Silent => (Vec::new(), false),
+        Behaviour::CloseBeforeHead
+        | Behaviour::Silent
+        | Behaviour::Endless(..)
+        | Behaviour::EndlessSlow(..) => (Vec::new(), false),
     };
     let sent = socket.write_all(&bytes).await.is_ok();
     if matches!(behaviour, Behaviour::LengthlessReset) {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -5,6 +5,7 @@
 use rocket::config::{Ident, LogLevel, Shutdown as ShutdownConfig};
 use rocket::data::{Limits, ToByteUnit};
 use rocket::fairing::AdHoc;
+use rocket::http::Status;
 use rocket::shield::Shield;
 use rocket::{Build, Config, Rocket, Shutdown};
 use thiserror::Error;
@@ -58,7 +59,8 @@
         let rocket = rocket
             .attach(report_port)
             .attach(track_requests(&relay))
-            .attach(close_while_draining(&relay));
+            .attach(close_while_draining(&relay))
+            .attach(close_after_refused_body());
         let rocket = rocket.ignite().await;
         let rocket = rocket.map_err(|error| Error::Server(error.to_string()))?;
         let shutdown = rocket.shutdown();
@@ -111,6 +113,17 @@
     })
 }
 
+/// Asks clients not to reuse a connection on which a body was refused. The server closes it, because
+/// it has not read the rest of the body.
+fn close_after_refused_body() -> AdHoc {
+    AdHoc::on_response("refused bodies", |_, response| {
+        if response.status() == Status::PayloadTooLarge {
+            response.set_raw_header("connection", "close");
+        }
+        Box::pin(async {})
+    })
+}
+
 /// Builds an HTTP server without routes, with the configuration that both ports share.
 ///
 /// It adds no headers of its own to answers, handles no signals and reads no configuration from
--- a/crates/node/tests/processes/input.rs
+++ b/crates/node/tests/processes/input.rs
@@ -104,6 +104,31 @@
     assert_eq!(log.len(), 1, "invalid input reached the upstream");
 }
 
+/// Guards against a refusal of a large announcement after which the client may send another request
+/// on a connection that the node is closing.
+#[tokio::test]
+async fn refusals_of_large_announcements_close_the_connection() {
+    let mesh = Mesh::start().await;
+    let node = mesh
+        .start_node(&NodeConfig::new("n1", "north", "north-a"))
+        .await;
+    let body = "x".repeat(1_000_000);
+    let request = format!(
+        "POST /announce HTTP/1.1\r\nhost: n1\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    for play in 0..40 {
+        let address = node.address("admin");
+        let answer = send(address, request.as_bytes(), Duration::from_secs(2)).await;
+        let answer = String::from_utf8_lossy(&answer).to_ascii_lowercase();
+        assert!(answer.starts_with("http/1.1 413"), "play {play}: {answer}");
+        assert!(
+            answer.contains("connection: close"),
+            "play {play}: {answer}"
+        );
+    }
+}
+
 /// Guards against invalid settings that are accepted, or whose errors are reported one at a time.
 #[tokio::test]
 async fn bad_settings_are_refused_with_all_findings() {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -51,6 +51,6 @@
 pub use requirements::Requirements;
 pub use retry_budget::RetryBudget;
 pub use routes::{NoRoute, Plan, Query, Routes, is_normalized_path};
-pub use start_tracker::{AnnouncementHeader, AnnouncementOutcome, StartTracker};
+pub use start_tracker::{AnnouncementHeader, AnnouncementOutcome, StartTracker, is_ahead};
 pub use token_bucket::TokenBucket;
 pub use upstream_health::{ANNOUNCEMENT_TTL, Availability, Probe, Stage, UpstreamHealth};
--- a/crates/route/src/start_tracker.rs
+++ b/crates/route/src/start_tracker.rs
@@ -9,6 +9,14 @@
 /// clock of the current one may have been ahead when it started.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum time by which the start of an upstream may lie ahead of the node's clock. The clocks of
+/// an upstream and its node may differ by seconds; a later start is invalid and would outrank every
+/// true one.
+const MAX_CLOCK_LEAD: Duration = Duration::from_mins(1);
+
+/// Maximum length of the identity of an upstream process, in bytes.
+const MAX_INSTANCE_BYTES: usize = 128;
+
 /// Maximum number of departed starts that are kept, so that a delayed announcement of one of them
 /// doesn't make it current again.
 const MAX_DEPARTED: usize = 16;
@@ -28,6 +36,24 @@
     pub stage: Stage,
 }
 
+impl AnnouncementHeader {
+    /// Returns the reason why no running upstream can have sent this header; `None` if one can.
+    /// `clock` is the node's time of day.
+    #[must_use]
+    pub fn find_fault(&self, clock: Timestamp) -> Option<&'static str> {
+        if !(1..=MAX_INSTANCE_BYTES).contains(&self.instance.len()) {
+            return Some("identity is empty or too long");
+        }
+        is_ahead(self.started, clock).then_some("start lies in the future")
+    }
+}
+
+/// Whether a start lies too far ahead of the node's clock to be true.
+#[must_use]
+pub fn is_ahead(started: Timestamp, clock: Timestamp) -> bool {
+    u128::from(started.since(clock)) > MAX_CLOCK_LEAD.as_millis()
+}
+
 /// Result of an announcement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnnouncementOutcome {
@@ -72,7 +98,11 @@
             Some(current)
                 if current.instance == header.instance && current.started == header.started =>
             {
-                if header.sequence <= current.sequence {
+                // A sequence number that is too large, from another sender, must not exclude the
+                // upstream for good.
+                let is_silent =
+                    now.saturating_duration_since(current.last_announcement) >= SILENCE_TIMEOUT;
+                if header.sequence <= current.sequence && !is_silent {
                     return AnnouncementOutcome::Ignored("announcement is out of order");
                 }
                 current.sequence = header.sequence;
--- a/crates/route/tests/succession.rs
+++ b/crates/route/tests/succession.rs
@@ -135,3 +135,42 @@
         "a start after the departure"
     );
 }
+
+/// Guards against an upstream that is ignored for good after another sender has announced it with
+/// the largest sequence number.
+#[test]
+fn a_sequence_number_that_is_too_large_is_forgotten_after_a_silence() {
+    let now = Instant::now();
+    let mut tracker = StartTracker::default();
+    tracker.record_announcement(&header("a", 10, u64::MAX, Stage::Ready), now);
+    let soon = now + Duration::from_secs(1);
+    assert!(matches!(
+        tracker.record_announcement(&header("a", 10, 5, Stage::Ready), soon),
+        AnnouncementOutcome::Ignored(_)
+    ));
+    let later = now + Duration::from_secs(6);
+    assert_eq!(
+        tracker.record_announcement(&header("a", 10, 6, Stage::Ready), later),
+        AnnouncementOutcome::Current(Stage::Ready)
+    );
+}
+
+/// Guards against a start that outranks every true one, and against an identity that cannot be sent
+/// to the upstream.
+#[test]
+fn headers_of_no_running_upstream_are_found() {
+    let clock = Timestamp::new(1_000_000);
+    let long = "i".repeat(200);
+    for (instance, started, is_valid) in [
+        ("i-1", 0, true),
+        ("i-1", 1_000_000, true),
+        ("i-1", 1_010_000, true),
+        ("i-1", 2_000_000, false),
+        ("i-1", u64::MAX, false),
+        ("", 1_000_000, false),
+        (long.as_str(), 1_000_000, false),
+    ] {
+        let fault = header(instance, started, 1, Stage::Ready).find_fault(clock);
+        assert_eq!(fault.is_none(), is_valid, "{instance} {started} {fault:?}");
+    }
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -236,6 +237,37 @@
         self.target.announce(announcement);
     }
 
+    /// Checks that an announcement names an upstream of this instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason when it does not. Such an announcement must not replace the upstream that
+    /// receives calls.
+    pub(crate) fn check_announcement(
+        &self,
+        header: &AnnouncementHeader,
+        announcement: &Announcement,
+    ) -> Result<(), String> {
+        if let Some(reason) = header.find_fault(Timestamp::now()) {
+            return Err(reason.to_owned());
+        }
+        let own_address = self.settings.load().upstream.address.parse::<SocketAddr>();
+        if own_address.is_ok_and(|own| own.ip() != announcement.address.ip()) {
+            return Err("address belongs to another instance".to_owned());
+        }
+        let is_current = self
+            .lock_start_tracker()
+            .is_current(&header.instance, header.started);
+        let config = self.config_watcher.current();
+        let is_unknown = config
+            .is_some_and(|config| !config.bundle.services.contains_key(&announcement.service));
+        // An upstream whose service is removed from the configuration still reports that it drains.
+        if is_unknown && !is_current && header.stage != Stage::Draining {
+            return Err(format!("no service `{}`", announcement.service));
+        }
+        Ok(())
+    }
+
     /// Applies an announcement of the upstream and returns the decision on it.
     pub fn apply_announcement(&self, header: &AnnouncementHeader) -> AnnouncementOutcome {
         self.lock_start_tracker()
--- a/crates/sidecar/tests/nodes.rs
+++ b/crates/sidecar/tests/nodes.rs
@@ -54,7 +54,14 @@
 fn parse_message(_: &Method, path: &str, _: &[u8]) -> Result<UpstreamMessage, String> {
     let parts: Vec<_> = path.trim_start_matches('/').split('/').collect();
     match parts[..] {
-        ["heartbeat", instance, started, sequence, stage, address] => {
+        [
+            kind @ ("heartbeat" | "unknown-service"),
+            instance,
+            started,
+            sequence,
+            stage,
+            address,
+        ] => {
             let stage = if stage == "ready" {
                 Stage::Ready
             } else {
@@ -68,7 +75,11 @@
                 stage,
             };
             let (slots, connections) = (size::Slots::new(4), size::Connections::new(20));
-            let service = "renewals".parse().unwrap();
+            let service = match kind {
+                "heartbeat" => "renewals",
+                _ => "other",
+            };
+            let service = service.parse().unwrap();
             let mut announcement =
                 Announcement::new(service, address.parse().unwrap(), slots, connections);
             instance.clone_into(&mut announcement.instance);
@@ -348,3 +359,55 @@
         );
     }
 }
+
+/// Guards against messages of another sender that keep the target from being used: the target went
+/// on announcing itself, but a start in the future or an unknown service had replaced it.
+#[tokio::test]
+async fn odd_announcements_do_not_replace_the_upstream() {
+    let store = Memory::default();
+    store.set("op/config", b"3");
+    let node = start_node(&store, "a").await;
+    let upstream = start_upstream();
+    wait_status(node.ready, "GET /", "200").await;
+    upstream.send_heartbeat(&node, "i-1", 1, "ready").await;
+    wait_status(node.callers, "GET /status/1", "200").await;
+    let address = upstream.address;
+    let long = "i".repeat(500);
+    for path in [
+        format!("heartbeat/i-2/{}/1/ready/{address}", u64::MAX),
+        format!("heartbeat/{long}/9/1/ready/{address}"),
+        format!("unknown-service/i-2/9/1/ready/{address}"),
+        format!("heartbeat//9/1/ready/{address}"),
+    ] {
+        let refused = send(node.announcements, &format!("POST /{path}")).await;
+        assert_eq!(status(&refused), "400", "{path}: {refused}");
+        assert_eq!(
+            status(&send(node.callers, "GET /status/1").await),
+            "200",
+            "{path}"
+        );
+    }
+    upstream.send_heartbeat(&node, "i-1", 2, "ready").await;
+    assert_eq!(status(&send(node.callers, "GET /status/1").await), "200");
+}
+
+/// Guards against a message that is too large and gets a closed connection instead of an answer.
+#[tokio::test]
+async fn large_messages_are_refused_with_an_answer() {
+    let store = Memory::default();
+    let node = start_node(&store, "a").await;
+    let body = "[".repeat(200_000);
+    let mut socket = TcpStream::connect(node.announcements).await.unwrap();
+    let head = format!(
+        "POST /heartbeat HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    socket.write_all(body.as_bytes()).await.unwrap();
+    let mut response = Vec::new();
+    let read = timeout(TIMEOUT, socket.read_buf(&mut response)).await;
+    read.unwrap().unwrap();
+    let response = String::from_utf8(response).unwrap();
+    assert_eq!(status(&response), "413", "{response}");
+    assert!(response.contains("connection: close"), "{response}");
+}
