Follow the store through few nodes of each region

Fleets of more than 32 nodes now have three readers in each region. The other nodes follow two nodes above them on a control stream, and read the store themselves only while neither of the two is current. The order by a hash of the ids rules out circles; rendezvous order keeps changes of parents local. A parent says whether it is current, so a reader that is cut off from the store hands its followers to others. New versions of a large value travel as the difference from one that the follower has. A node that starts still reads the store once for itself, so it never begins with an older version than it had.

Items of listings and watches are decoded one by one: one that cannot be decoded, from another writer, no longer hides the others. An entry under the key of another node or without an address is ignored, and an own entry that was replaced is written again. Responses of the store are limited to 16 MB.

--- a/crates/call/tests/endless.rs
+++ b/crates/call/tests/endless.rs
@@ -86,7 +86,8 @@
             let _ = answer.body.read_to_end().await;
             outcome
         };
-        let outcome = timeout(END_TIMEOUT, call).await.expect(&case);
+        let outcome = timeout(END_TIMEOUT, call).await;
+        let outcome = outcome.unwrap_or_else(|_| panic!("{case}: no end"));
         let (Behaviour::Endless(first, _) | Behaviour::EndlessSlow(first, _)) = behaviour else {
             unreachable!();
         };
--- a/crates/directory/src/backend.rs
+++ b/crates/directory/src/backend.rs
@@ -62,6 +62,9 @@
     /// The store no longer keeps the history after the requested revision.
     #[error("revision has been compacted")]
     Compacted,
+    /// The answer is larger than the client accepts.
+    #[error("answer from the store is too large")]
+    TooLarge,
     /// The answer cannot be decoded.
     #[error("invalid answer from the store: {0}")]
     Invalid(String),
@@ -94,22 +97,52 @@
     Removed(String),
 }
 
+impl Change {
+    /// Number of bytes of the key and the value.
+    #[must_use]
+    pub const fn size(&self) -> usize {
+        match self {
+            Self::Put(item) => item.key.len() + item.value.len(),
+            Self::Removed(key) => key.len(),
+        }
+    }
+
+    /// The item of a new value.
+    #[must_use]
+    pub fn into_item(self) -> Option<Item> {
+        match self {
+            Self::Put(item) => Some(item),
+            Self::Removed(_) => None,
+        }
+    }
+}
+
 /// Changes, and the revision up to which they are complete.
 type Changes = (Vec<Change>, Revision);
 
+/// Request for the changes below a prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WatchRequest {
+    /// Prefix of the keys.
+    pub prefix: String,
+    /// Revision after which changes are requested.
+    pub after: Revision,
+    /// Time for which the store waits for a change before it answers without any.
+    pub wait: Duration,
+}
+
 type Call<A, T> = Box<dyn Fn(A) -> BoxFuture<'static, Result<T, Error>> + Send + Sync>;
 
 /// Client of the platform's store, as closures.
 ///
-/// Each call times out on its own within a few seconds, a watch within the long-poll time of the
-/// store.
+/// Each call times out on its own within a few seconds, a watch soon after its wait.
 pub struct Backend {
     /// Availability of the store, as seen by the calls.
     pub health: Health,
     /// Lists all items below a prefix.
     pub list: Call<String, Listing>,
     /// Waits for changes below a prefix after a revision. May return without changes.
-    pub watch: Call<(String, Revision), Changes>,
+    pub watch: Call<WatchRequest, Changes>,
     /// Grants a lease with a time to live.
     pub grant: Call<Duration, Lease>,
     /// Renews a lease.
--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -3,7 +3,9 @@
 use member::{ConversionError, Record};
 use schema::{codec, directory as message};
 use thiserror::Error;
-use types::Timestamp;
+use types::{Timestamp, id};
+
+use crate::Item;
 
 /// Format version of a stored entry, which is the first byte of its value.
 const FORMAT_VERSION: u8 = 1;
@@ -61,6 +63,10 @@
     Codec(#[from] codec::Error),
     #[error("{0}")]
     Record(#[from] ConversionError),
+    #[error("entry of node `{0}`")]
+    OtherNode(id::Node),
+    #[error("no node at {0}")]
+    Address(SocketAddr),
 }
 
 impl Entry {
@@ -75,7 +81,20 @@
         Ok(bytes)
     }
 
-    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+    /// Decodes the entry of the node that the key of an item names.
+    pub(crate) fn decode_item(prefix: &str, item: &Item) -> Result<Self, DecodeError> {
+        let entry = Self::decode(&item.value)?;
+        let record = &entry.record;
+        if item.key.strip_prefix(prefix) != Some(record.id.as_str()) {
+            return Err(DecodeError::OtherNode(record.id.clone()));
+        }
+        if record.address.port() == 0 || record.address.ip().is_unspecified() {
+            return Err(DecodeError::Address(record.address));
+        }
+        Ok(entry)
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
         let [FORMAT_VERSION, content @ ..] = bytes else {
             return Err(DecodeError::Format);
         };
--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -1,16 +1,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use member::{Record, State};
 use route::Candidate;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 use types::{Deadline, id, size};
 
 use crate::entry::{Entry, UpstreamStart};
-use crate::follow::follow;
+use crate::plan::Plan;
 use crate::publish;
-use crate::{Backend, Change, Item, Replica, Update, WatchOptions};
+use crate::{Backend, Change, Item, Relay, Replica, Update, WatchOptions};
 
 /// Directory of the nodes in the store, and publisher of the own entry. Clones share one state.
 #[derive(Clone)]
@@ -43,6 +44,8 @@
     pub(crate) stored_sequence: watch::Sender<Option<u32>>,
     replica: Mutex<Replica>,
     previous_entry: watch::Sender<PreviousEntry>,
+    /// Wakes the task that maintains the plan.
+    updated: Notify,
 }
 
 /// Entry that an earlier process of this node has left in the store.
@@ -60,25 +63,29 @@
 }
 
 struct Tasks {
-    follow: JoinHandle<()>,
+    plan: JoinHandle<()>,
     publish: JoinHandle<()>,
 }
 
 impl Drop for Tasks {
     fn drop(&mut self) {
-        self.follow.abort();
+        self.plan.abort();
         self.publish.abort();
     }
 }
 
+/// Longest time until a removed node is left out of the plan after its grace time.
+const PLAN_INTERVAL: Duration = Duration::from_secs(3);
+
 impl Directory {
     /// Starts the tasks of the node with the initial `record`. The keys of entries start with
-    /// `prefix`.
+    /// `prefix`, and `relay` follows them.
     ///
     /// Must be called within a Tokio runtime.
     #[must_use]
     pub fn start(
         backend: Arc<Backend>,
+        relay: &Relay,
         prefix: &str,
         options: WatchOptions,
         record: Record,
@@ -95,17 +102,16 @@
             stored_sequence: watch::Sender::new(None),
             replica: Mutex::default(),
             previous_entry: watch::Sender::new(PreviousEntry::Unknown),
+            updated: Notify::new(),
         });
-        let follower = Arc::clone(&shared);
-        let follow = tokio::spawn(async move {
-            let apply = |update| {
-                follower.apply(update);
-                true
-            };
-            follow(&follower.backend, &follower.prefix, options, apply).await;
+        let consumer = Arc::clone(&shared);
+        relay.add_table(prefix, options, move |update| {
+            consumer.apply(update);
+            true
         });
+        let plan = tokio::spawn(maintain_plan(Arc::clone(&shared), relay.clone()));
         let publish = tokio::spawn(publish::run(Arc::clone(&shared)));
-        let tasks = Arc::new(Tasks { follow, publish });
+        let tasks = Arc::new(Tasks { plan, publish });
         Self { shared, tasks }
     }
 
@@ -242,7 +248,7 @@
             .await;
     }
 
-    fn apply(&self, update: Update) {
+    fn apply(&self, update: &Update) {
         let now = Instant::now();
         let mut replica = self.lock();
         let mut previous = None;
@@ -254,8 +260,11 @@
                     self.entry_missing.notify_one();
                 }
                 for item in items {
-                    let entry = store_entry(&mut replica, &item);
+                    let entry = store_entry(&mut replica, &self.prefix, item);
                     if item.key == own {
+                        if entry.is_none() {
+                            self.entry_missing.notify_one();
+                        }
                         previous = entry;
                     }
                 }
@@ -264,12 +273,15 @@
                 for change in changes {
                     match change {
                         Change::Put(item) => {
-                            store_entry(&mut replica, &item);
+                            let entry = store_entry(&mut replica, &self.prefix, item);
+                            if entry.is_none() && item.key == self.key() {
+                                self.entry_missing.notify_one();
+                            }
                         }
                         Change::Removed(key) => {
                             log::info!(key:%; "node entry removed");
-                            replica.mark_removed(&key, now);
-                            if key == self.key() {
+                            replica.mark_removed(key, now);
+                            if *key == self.key() {
                                 self.entry_missing.notify_one();
                             }
                         }
@@ -292,6 +304,12 @@
             }
             is_first
         });
+        self.updated.notify_one();
+    }
+
+    fn plan(&self) -> Plan {
+        let own = self.own_entry.borrow().record.clone();
+        Plan::new(&own, self.lock().live(Instant::now()))
     }
 
     fn is_loaded(&self) -> bool {
@@ -303,9 +321,20 @@
     }
 }
 
-/// Stores an entry in the replica. Entries that cannot be decoded are ignored.
-fn store_entry(replica: &mut Replica, item: &Item) -> Option<Entry> {
-    match Entry::decode(&item.value) {
+/// Tells the relay which nodes to follow whenever the entries change, until the future is dropped.
+async fn maintain_plan(shared: Arc<Shared>, relay: Relay) {
+    shared.wait_previous_entry().await;
+    loop {
+        relay.set_plan(shared.plan());
+        // A timeout is the usual end of a quiet time.
+        let _ = timeout(PLAN_INTERVAL, shared.updated.notified()).await;
+    }
+}
+
+/// Stores an entry in the replica. Entries that name no node to use are ignored: other writers share
+/// the store.
+fn store_entry(replica: &mut Replica, prefix: &str, item: &Item) -> Option<Entry> {
+    match Entry::decode_item(prefix, item) {
         Ok(entry) => {
             let record = &entry.record;
             log::info!(
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -1,16 +1,19 @@
 //! Node directory and configuration in the platform's store.
 //!
 //! - [`Backend`] is the client of the store, as closures. An adapter implements its protocol.
-//! - [`Directory`] publishes the entry of this node under a lease and follows the entries of the
+//! - [`Relay`] follows keys of the store. A few nodes of each region read the store; the others
+//!   follow these, or read the store while they have no node to follow. [`Plan`] decides who follows
+//!   whom, [`Mirror`] keeps what is passed on, and [`Difference`] keeps new versions of a large value
+//!   small.
+//! - [`Directory`] publishes the entry of this node under a lease and collects the entries of the
 //!   others. The known entries stay in use during outages of the store.
-//! - [`ConfigWatcher`] follows the configuration. It ignores versions that are older than the one
-//!   in
-//!   force or cannot be decoded.
+//! - [`ConfigWatcher`] provides the configuration. It ignores versions that are older than the one
+//!   in force or cannot be decoded.
 //! - [`Replica`] decides which entries are valid. Removed ones stay valid for a grace time, because
-//!   a
-//!   store loses the entries of live nodes during an outage.
+//!   a store loses the entries of live nodes during an outage.
 //!
-//! One task follows each key prefix, and one publishes the own entry.
+//! One task reads the keys with each prefix from the store, one follows each parent, one serves each
+//! child, and one publishes the own entry.
 //!
 //! ```
 //! use std::time::Duration;
@@ -33,18 +36,30 @@
 //! ```
 
 mod backend;
+mod child;
+mod difference;
 mod entry;
-mod follow;
 mod handle;
 mod health;
+mod message;
+mod mirror;
+mod parent;
+mod plan;
 mod publish;
+mod relay;
 mod replica;
+mod source;
+mod table;
 mod versions;
 
-pub use backend::{Backend, Change, Error, Item, Lease, LeaseId, Listing, Revision};
+pub use backend::{Backend, Change, Error, Item, Lease, LeaseId, Listing, Revision, WatchRequest};
+pub use difference::{Difference, Segment};
 pub use entry::{Entry, UpstreamStart};
-pub use follow::{Update, WatchOptions, follow};
 pub use handle::{Directory, Upstream};
 pub use health::Health;
+pub use mirror::{Batch, LARGE_VALUE_BYTES, Mirror};
+pub use plan::{Parent, Plan, is_above};
+pub use relay::Relay;
 pub use replica::Replica;
+pub use source::{Update, WatchOptions};
 pub use versions::ConfigWatcher;
--- /dev/null
+++ b/crates/directory/src/parent.rs
@@ -0,0 +1,199 @@
+//! Tasks that follow other nodes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use schema::directory::{Batch, FollowMessage, KeyChange, follow_message::Kind};
+use thiserror::Error;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+use types::{Deadline, id};
+use wire::{Connection, Stream};
+
+use crate::message::{self, DecodeError, KnownValues};
+use crate::plan::{Parent, Plan};
+use crate::relay::{Shared, State};
+use crate::table::Table;
+use crate::{Change, Revision, Update};
+
+/// Timeout for connecting to a parent.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for which a parent that failed is tried after the others only.
+const FAILURE_MEMORY: Duration = Duration::from_secs(10);
+
+/// Delay before the next parent is tried after a failure. The second parent delivers the changes
+/// meanwhile, or the store.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Reason why this node no longer follows a parent.
+#[derive(Debug, Error)]
+enum EndReason {
+    #[error("{0}")]
+    Wire(#[from] wire::Error),
+    #[error("{0}")]
+    Decode(#[from] DecodeError),
+    #[error("ended by the parent")]
+    EndedByParent,
+    #[error("unexpected message")]
+    UnexpectedMessage,
+    #[error("no longer planned")]
+    NotPlanned,
+}
+
+/// Keeps one parent until the future is dropped. Several of these tasks follow different parents.
+pub(crate) async fn run(shared: Arc<Shared>, index: usize) {
+    let mut failures = HashMap::new();
+    let mut state = shared.subscribe();
+    loop {
+        let plan = state.borrow_and_update().plan.clone();
+        let tables = shared.tables();
+        let is_loaded = tables.iter().all(|table| table.revision().is_some());
+        let parent = plan.and_then(|plan| choose_parent(&plan, index, &failures));
+        let Some(parent) = parent.filter(|_| is_loaded) else {
+            // The sender lives in `shared`, so the wait cannot fail.
+            let _ = state.changed().await;
+            continue;
+        };
+        let node = parent.node.clone();
+        let mut link = Link::new(&shared, tables);
+        let Err(reason) = link.follow(&parent, &mut state).await;
+        log::info!(parent:% = node, reason:%; "no longer following a parent");
+        if !matches!(reason, EndReason::NotPlanned) {
+            failures.insert(node, Instant::now());
+            sleep(RETRY_DELAY.mul_f64(rand::random_range(0.7..1.3))).await;
+        }
+        failures.retain(|_, failed_at: &mut Instant| failed_at.elapsed() < FAILURE_MEMORY);
+    }
+}
+
+/// Chooses the parent of a task: those that have not failed come first, the one that failed longest
+/// ago after them. The tasks choose from different parts of the list, and from different failure
+/// domains where the plan allows it.
+fn choose_parent(
+    plan: &Plan,
+    index: usize,
+    failures: &HashMap<id::Node, Instant>,
+) -> Option<Parent> {
+    let first = plan.parents.first()?;
+    let is_for_task = |position: usize, parent: &Parent| match index {
+        0 => position == 0 || parent.domain == first.domain,
+        _ => position != 0 && parent.domain != first.domain,
+    };
+    let mut candidates: Vec<&Parent> = plan
+        .parents
+        .iter()
+        .enumerate()
+        .filter(|(position, parent)| is_for_task(*position, parent))
+        .map(|(_, parent)| parent)
+        .collect();
+    if candidates.is_empty() {
+        candidates = plan.parents.iter().skip(index).collect();
+    }
+    candidates.sort_by_key(|parent| failures.get(&parent.node).copied());
+    candidates.first().map(|parent| (*parent).clone())
+}
+
+/// Stream on which this node follows a parent.
+struct Link<'a> {
+    shared: &'a Shared,
+    tables: Vec<Arc<Table>>,
+    /// Large values that the parent knows this node has, by table.
+    known: Vec<KnownValues>,
+    /// Parts of a batch that is not complete yet.
+    parts: Vec<KeyChange>,
+    is_current: bool,
+}
+
+impl<'a> Link<'a> {
+    fn new(shared: &'a Shared, tables: Vec<Arc<Table>>) -> Self {
+        let known = tables
+            .iter()
+            .map(|table| table.large_values().into_iter().collect());
+        Self {
+            shared,
+            known: known.collect(),
+            tables,
+            parts: Vec::new(),
+            is_current: false,
+        }
+    }
+
+    async fn follow(
+        &mut self,
+        parent: &Parent,
+        state: &mut watch::Receiver<State>,
+    ) -> Result<std::convert::Infallible, EndReason> {
+        let deadline = Deadline::after(CONNECT_TIMEOUT);
+        let connection = Connection::connect(parent.address, deadline).await?;
+        let Stream {
+            mut sender,
+            mut receiver,
+        } = connection.open(wire::Kind::Control).await?;
+        let tables = self.tables.iter().map(AsRef::as_ref).zip(&self.known);
+        let subscription = message::encode_subscription(&self.shared.node, tables);
+        sender.send(&subscription).await?;
+        loop {
+            let received = tokio::select! {
+                received = receiver.recv::<FollowMessage>() => received?,
+                () = wait_not_planned(state, &parent.node) => return Err(EndReason::NotPlanned),
+            };
+            let received = received.ok_or(EndReason::EndedByParent)?;
+            match received.message.kind {
+                Some(Kind::Freshness(freshness)) => {
+                    log::info!(parent:% = parent.node, is_current = freshness.fresh; "following a parent");
+                    self.set_current(freshness.fresh);
+                }
+                Some(Kind::Batch(batch)) => self.apply(batch)?,
+                _ => return Err(EndReason::UnexpectedMessage),
+            }
+        }
+    }
+
+    fn apply(&mut self, batch: Batch) -> Result<(), EndReason> {
+        self.parts.extend(batch.changes);
+        if batch.more {
+            return Ok(());
+        }
+        let mut tables = self.tables.iter().zip(&mut self.known);
+        let found = tables.find(|(table, _)| table.prefix == batch.prefix);
+        let (table, known) = found.ok_or(EndReason::UnexpectedMessage)?;
+        let parts = std::mem::take(&mut self.parts).into_iter();
+        let changes = parts.map(|change| message::decode_change(change, known));
+        let changes: Vec<Change> = changes.collect::<Result<_, _>>()?;
+        let update = if batch.snapshot {
+            let items = changes.into_iter().filter_map(Change::into_item);
+            Update::Snapshot(items.collect())
+        } else {
+            Update::Changes(changes)
+        };
+        table.apply(&update, Revision(batch.revision));
+        Ok(())
+    }
+
+    fn set_current(&mut self, is_current: bool) {
+        match (self.is_current, is_current) {
+            (false, true) => self.shared.add_current_parent(),
+            (true, false) => self.shared.remove_current_parent(),
+            _ => {}
+        }
+        self.is_current = is_current;
+    }
+}
+
+impl Drop for Link<'_> {
+    fn drop(&mut self) {
+        self.set_current(false);
+    }
+}
+
+/// Waits until the plan no longer contains a parent.
+async fn wait_not_planned(state: &mut watch::Receiver<State>, parent: &id::Node) {
+    let is_planned = |state: &State| {
+        let plan = state.plan.as_ref();
+        plan.is_some_and(|plan| plan.parents.iter().any(|known| known.node == *parent))
+    };
+    // The sender lives in the shared state, so the wait cannot fail.
+    let _ = state.wait_for(|state| !is_planned(state)).await;
+}
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -7,8 +7,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
-use crate::follow::Backoff;
 use crate::handle::Shared;
+use crate::source::Backoff;
 use crate::{Error, Item, Lease, Revision};
 
 /// Time to live of the lease. The entry of a node that has died remains for this long.
--- /dev/null
+++ b/crates/directory/src/source.rs
@@ -0,0 +1,194 @@
+//! Task that follows the keys of a table in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::relay::{Shared, State};
+use crate::table::Table;
+use crate::{Change, Error, Item, Revision, WatchRequest};
+
+/// Backoff after the first failed call. It doubles up to a maximum.
+const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
+
+/// Maximum backoff of a reader. It limits the time until a recovered store is noticed.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Backoff range of a node that reads the store only because it has no current parent. It learns of
+/// the recovery from the readers.
+const FALLBACK_BACKOFF: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(4));
+
+/// Time for which a watch waits. A connection that has gone silent is noticed soon after it, if no
+/// other call shows it earlier.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+
+/// Time for which a watch waits while other nodes depend on this one.
+const READER_WATCH_WAIT: Duration = Duration::from_millis(1500);
+
+/// Update of the items below a prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Update {
+    /// All items; keys that are not among them don't exist.
+    Snapshot(Vec<Item>),
+    /// Changes since the last update.
+    Changes(Vec<Change>),
+}
+
+/// Options for following the keys of a table in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchOptions {
+    /// Minimum time between the starts of two calls, so that a burst of changes costs only one
+    /// call.
+    pub min_interval: Duration,
+    /// Minimum time between the first listing and the first watch. After a common start of all
+    /// nodes, most of them then have found nodes to follow and make no watch.
+    pub first_watch_delay: Duration,
+    /// Whether the prefix is listed again after a change, until there are no new values, instead of
+    /// watched. A watch returns every intermediate value of a key, which is a lot of data while a
+    /// large configuration changes often.
+    pub reread_on_change: bool,
+}
+
+/// Exponential backoff with jitter, so that nodes don't retry in step.
+pub(crate) struct Backoff(Duration);
+
+impl Backoff {
+    pub(crate) const fn new() -> Self {
+        Self(INITIAL_BACKOFF)
+    }
+
+    pub(crate) const fn reset(&mut self) {
+        self.0 = INITIAL_BACKOFF;
+    }
+
+    pub(crate) async fn wait(&mut self) {
+        self.wait_within(INITIAL_BACKOFF, MAX_BACKOFF).await;
+    }
+
+    async fn wait_within(&mut self, least: Duration, most: Duration) {
+        let backoff = self.0.clamp(least, most);
+        sleep(backoff.mul_f64(rand::random_range(0.7..1.0))).await;
+        self.0 = (backoff * 2).min(most);
+    }
+}
+
+/// Lists the keys of a table once, then watches them whenever this node has no parent that is
+/// current. Runs until the future is dropped.
+pub(crate) async fn run(shared: Arc<Shared>, table: Arc<Table>) {
+    let mut source = Source {
+        shared: &shared,
+        table: &table,
+        backoff: Backoff::new(),
+        is_available: true,
+        is_settled: true,
+        reached: None,
+    };
+    while source.reached.is_none() {
+        source.follow_once().await;
+    }
+    sleep(table.options.first_watch_delay).await;
+    let mut state = shared.subscribe();
+    loop {
+        // The sender lives in `shared`, so the waits cannot fail.
+        let _ = state.wait_for(State::reads_store).await;
+        let mut ending = state.clone();
+        tokio::select! {
+            () = source.follow() => {}
+            _ = ending.wait_for(|state| !state.reads_store()) => {}
+        }
+        shared.set_source_current(&table, false);
+    }
+}
+
+struct Source<'a> {
+    shared: &'a Shared,
+    table: &'a Table,
+    backoff: Backoff,
+    is_available: bool,
+    /// Whether the last listing contained nothing new.
+    is_settled: bool,
+    /// Revision from which to watch; `None` when the prefix has to be listed.
+    reached: Option<Revision>,
+}
+
+impl Source<'_> {
+    async fn follow(&mut self) {
+        self.backoff.reset();
+        loop {
+            self.follow_once().await;
+        }
+    }
+
+    /// Makes one call and waits until the next one may begin.
+    async fn follow_once(&mut self) {
+        let next_call = Instant::now() + self.table.options.min_interval;
+        let backend = &self.shared.backend;
+        let mut recovery = backend.health.listen_for_recovery();
+        let was_watch = self.reached.is_some();
+        let result = match self.reached {
+            None => self.list().await,
+            Some(reached) => tokio::select! {
+                result = self.watch(reached) => result,
+                () = recovery.wait() => return,
+            },
+        };
+        backend.health.record(&result);
+        let prefix = self.table.prefix.as_str();
+        match result {
+            Ok((update, revision)) => {
+                if !self.is_available {
+                    log::info!(prefix, revision:%; "store is available again");
+                }
+                self.is_available = true;
+                self.backoff.reset();
+                self.shared.set_source_current(self.table, true);
+                let is_new = update.is_some_and(|update| self.table.apply(&update, revision));
+                self.is_settled = !is_new || self.is_settled && !was_watch;
+                let rereads = self.table.options.reread_on_change && !self.is_settled;
+                self.reached = (!rereads).then_some(revision);
+                sleep_until(next_call).await;
+            }
+            Err(Error::Compacted) => {
+                log::info!(prefix; "store has compacted its history; listing the prefix again");
+                self.reached = None;
+            }
+            Err(error) => {
+                if self.is_available {
+                    log::warn!(prefix, reason:% = error; "store is unavailable");
+                }
+                self.is_available = false;
+                self.shared.set_source_current(self.table, false);
+                let (least, most) = if self.shared.is_reader() {
+                    (INITIAL_BACKOFF, MAX_BACKOFF)
+                } else {
+                    FALLBACK_BACKOFF
+                };
+                self.backoff.wait_within(least, most).await;
+            }
+        }
+    }
+
+    async fn list(&self) -> Result<(Option<Update>, Revision), Error> {
+        let listing = (self.shared.backend.list)(self.table.prefix.clone()).await?;
+        Ok((Some(Update::Snapshot(listing.items)), listing.revision))
+    }
+
+    async fn watch(&self, reached: Revision) -> Result<(Option<Update>, Revision), Error> {
+        // Parents may have delivered later changes.
+        let after = reached.max(self.table.revision().unwrap_or_default());
+        let wait = if self.shared.has_children() {
+            READER_WATCH_WAIT
+        } else {
+            WATCH_WAIT
+        };
+        let request = WatchRequest {
+            prefix: self.table.prefix.clone(),
+            after,
+            wait,
+        };
+        let (changes, reached) = (self.shared.backend.watch)(request).await?;
+        let update = (!changes.is_empty()).then_some(Update::Changes(changes));
+        Ok((update, reached.max(after)))
+    }
+}
--- /dev/null
+++ b/crates/directory/src/table.rs
@@ -0,0 +1,109 @@
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::difference::Difference;
+use crate::mirror::{Batch, Mirror};
+use crate::{Revision, Update, WatchOptions};
+
+/// Applies an update; returns whether it contains anything new.
+pub(crate) type Consumer = Box<dyn FnMut(&Update) -> bool + Send>;
+
+/// Keys with a prefix that this node follows, from the store or from other nodes.
+pub(crate) struct Table {
+    pub(crate) prefix: String,
+    pub(crate) options: WatchOptions,
+    content: Mutex<Content>,
+    /// Counts the changes of all tables.
+    changes: watch::Sender<u64>,
+    is_source_current: AtomicBool,
+}
+
+struct Content {
+    mirror: Mirror,
+    consumer: Consumer,
+    /// Difference that was computed last; most followers need the same one.
+    difference: Option<Difference>,
+}
+
+impl Table {
+    pub(crate) fn new(
+        prefix: &str,
+        options: WatchOptions,
+        consumer: Consumer,
+        changes: watch::Sender<u64>,
+    ) -> Self {
+        Self {
+            prefix: prefix.to_owned(),
+            options,
+            content: Mutex::new(Content {
+                mirror: Mirror::default(),
+                consumer,
+                difference: None,
+            }),
+            changes,
+            is_source_current: AtomicBool::new(false),
+        }
+    }
+
+    /// Revision up to which all changes are known; `None` before the first listing.
+    pub(crate) fn revision(&self) -> Option<Revision> {
+        self.lock().mirror.revision()
+    }
+
+    /// Applies an update unless it is outdated; returns whether it contained anything new.
+    pub(crate) fn apply(&self, update: &Update, revision: Revision) -> bool {
+        // The lock orders the updates of the store and of the parents.
+        let mut content = self.lock();
+        let is_new = content.mirror.apply(update, revision) && (content.consumer)(update);
+        drop(content);
+        self.changes.send_modify(|count| *count += 1);
+        is_new
+    }
+
+    /// Changes after a revision; `None` when nothing is known beyond it.
+    pub(crate) fn changes_since(&self, after: Revision) -> Option<Batch> {
+        self.lock().mirror.changes_since(after)
+    }
+
+    /// Large values that this node has, by key.
+    pub(crate) fn large_values(&self) -> Vec<(String, Bytes)> {
+        let content = self.lock();
+        let values = content.mirror.large_values();
+        values
+            .map(|(key, value)| (key.to_owned(), value.clone()))
+            .collect()
+    }
+
+    /// Finds a large value that is current or was replaced recently.
+    pub(crate) fn find_large_value(&self, hash: u64) -> Option<Bytes> {
+        self.lock().mirror.find_large_value(hash)
+    }
+
+    /// Computes the difference between two large values.
+    pub(crate) fn compute_difference(&self, old: &Bytes, new: &Bytes) -> Difference {
+        let (base, hash) = (xxh3_64(old), xxh3_64(new));
+        let mut content = self.lock();
+        let known = content.difference.take();
+        let difference = known
+            .filter(|known| known.base == base && known.hash == hash)
+            .unwrap_or_else(|| Difference::between(old, new));
+        content.difference.insert(difference).clone()
+    }
+
+    /// Records whether the store has answered the last call for this table.
+    pub(crate) fn set_source_current(&self, is_current: bool) {
+        self.is_source_current.store(is_current, Ordering::Release);
+    }
+
+    pub(crate) fn is_source_current(&self) -> bool {
+        self.is_source_current.load(Ordering::Acquire)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Content> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/directory/src/versions.rs
+++ b/crates/directory/src/versions.rs
@@ -1,47 +1,41 @@
 use std::sync::Arc;
 
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 use types::Version;
 
-use crate::follow::follow;
-use crate::{Backend, Change, Item, Update, WatchOptions};
+use crate::{Change, Item, Relay, Update, WatchOptions};
 
 /// Watches the configuration in the store and provides the version in force.
 ///
 /// Versions that are older than the one in force or cannot be decoded are ignored.
 pub struct ConfigWatcher<C> {
     current: watch::Sender<Option<(Version, Arc<C>)>>,
-    follow: JoinHandle<()>,
-}
-
-impl<C> Drop for ConfigWatcher<C> {
-    fn drop(&mut self) {
-        self.follow.abort();
-    }
+    /// Keeps the tasks that follow the key running.
+    _relay: Relay,
 }
 
 impl<C> ConfigWatcher<C>
 where
     C: Send + Sync + 'static,
 {
-    /// Starts to watch the configuration under `key`. `decode` decodes its value.
+    /// Starts to watch the configuration under `key`, which `relay` follows. `decode` decodes its
+    /// value.
     ///
     /// Must be called within a Tokio runtime.
-    pub fn start<D>(backend: Arc<Backend>, key: &str, options: WatchOptions, decode: D) -> Self
+    pub fn start<D>(relay: &Relay, key: &str, options: WatchOptions, decode: D) -> Self
     where
         D: Fn(&[u8]) -> Result<(Version, C), String> + Send + Sync + 'static,
     {
         let current = watch::Sender::new(None);
-        let (sender, key) = (current.clone(), key.to_owned());
-        let follow = tokio::spawn(async move {
-            let apply = |update| {
-                let item = newest_item(update, &key);
-                item.is_some_and(|item| apply_version(&sender, &item, &decode))
-            };
-            follow(&backend, &key, options, apply).await;
+        let (sender, own_key) = (current.clone(), key.to_owned());
+        relay.add_table(key, options, move |update| {
+            let item = newest_item(update, &own_key);
+            item.is_some_and(|item| apply_version(&sender, item, &decode))
         });
-        Self { current, follow }
+        Self {
+            current,
+            _relay: relay.clone(),
+        }
     }
 
     /// Configuration in force; `None` until one has been read.
@@ -59,18 +53,14 @@
 }
 
 /// Returns the newest value of the key in an update; earlier values are skipped.
-fn newest_item(update: Update, key: &str) -> Option<Item> {
-    let items = match update {
-        Update::Snapshot(items) => items,
-        Update::Changes(changes) => {
-            let puts = changes.into_iter().filter_map(|change| match change {
-                Change::Put(item) => Some(item),
-                Change::Removed(_) => None,
-            });
-            puts.collect()
-        }
-    };
-    items.into_iter().rfind(|item| item.key == key)
+fn newest_item<'a>(update: &'a Update, key: &str) -> Option<&'a Item> {
+    match update {
+        Update::Snapshot(items) => items.iter().rfind(|item| item.key == key),
+        Update::Changes(changes) => changes.iter().rev().find_map(|change| match change {
+            Change::Put(item) if item.key == key => Some(item),
+            Change::Put(_) | Change::Removed(_) => None,
+        }),
+    }
 }
 
 /// Puts a version in force if it is newer than the current one; returns whether it is.
--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -2,9 +2,10 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use directory::{Directory, Replica, Upstream, UpstreamStart, WatchOptions};
+use directory::{Directory, Relay, Replica, Upstream, UpstreamStart, WatchOptions};
 use member::{Record, State};
 use standin::Memory;
 use tokio::time::{Instant, sleep};
@@ -12,6 +13,7 @@
 
 const OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(100),
+    first_watch_delay: Duration::ZERO,
     reread_on_change: false,
 };
 
@@ -40,8 +42,14 @@
     }
 }
 
+fn start_process(store: &Memory, name: &str) -> Directory {
+    let (backend, record) = (store.backend(), record(name));
+    let relay = Relay::start(Arc::clone(&backend), record.id.clone());
+    Directory::start(backend, &relay, "mesh/", OPTIONS, record)
+}
+
 async fn start(store: &Memory, name: &str) -> Directory {
-    let directory = Directory::start(store.backend(), "mesh/", OPTIONS, record(name));
+    let directory = start_process(store, name);
     directory.set_upstream(Some(upstream("i-1")));
     assert!(directory.flush(Deadline::after_ms(5000)).await);
     directory
@@ -120,7 +128,7 @@
     old_process.set_departed(upstream("i-0").start);
     assert!(old_process.flush(Deadline::after_ms(5000)).await);
     old_process.close();
-    let new_process = Directory::start(store.backend(), "mesh/", OPTIONS, record("a"));
+    let new_process = start_process(&store, "a");
     let previous = new_process.previous_entry().await.unwrap();
     assert_eq!(previous.departed.unwrap().instance, "i-0");
     assert_eq!(previous.current.unwrap().instance, "i-1");
@@ -191,7 +199,43 @@
     });
     assert!(old_process.flush(Deadline::after_ms(5000)).await);
     old_process.close();
-    let next = Directory::start(store.backend(), "mesh/", OPTIONS, record("a"));
+    let next = start_process(&store, "a");
     let previous = next.previous_entry().await.unwrap();
     assert_eq!(previous.departed.unwrap().instance, "i-1");
 }
+
+/// Guards against an entry under the key of another node, or without a usable address, that takes
+/// the place of a true one.
+#[tokio::test(start_paused = true)]
+async fn entries_that_name_another_node_or_no_address_are_ignored() {
+    let store = Memory::default();
+    let _b = start(&store, "b").await;
+    let entry = store.get("mesh/b").unwrap();
+    store.set("mesh/c", &entry);
+    let mut without_port = entry.to_vec();
+    let port = without_port.windows(4).position(|four| four == b"8081");
+    let port = port.unwrap();
+    without_port[port..port + 4].copy_from_slice(b"0000");
+    let mut renamed = without_port.clone();
+    let name = renamed.iter().position(|byte| *byte == b'b').unwrap();
+    renamed[name] = b'd';
+    store.set("mesh/d", &renamed);
+    let a = start(&store, "a").await;
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(targets(&a), ["a", "b"]);
+    assert_eq!(a.node_count(), 2);
+}
+
+/// Guards against an own entry that stays unusable after another writer has replaced it.
+#[tokio::test(start_paused = true)]
+async fn an_own_entry_that_was_replaced_is_written_again() {
+    let store = Memory::default();
+    let _a = start(&store, "a").await;
+    let b = start(&store, "b").await;
+    sleep(Duration::from_secs(1)).await;
+    store.set("mesh/a", b"not an entry");
+    sleep(Duration::from_secs(1)).await;
+    assert_ne!(store.get("mesh/a").unwrap(), &b"not an entry"[..]);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(targets(&b), ["a", "b"]);
+}
--- /dev/null
+++ b/crates/directory/tests/relay.rs
@@ -0,0 +1,241 @@
+//! Fleets that follow the store through a few of their nodes, over real sockets.
+
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use directory::{ConfigWatcher, Directory, Relay, Upstream, UpstreamStart, WatchOptions};
+use member::{Record, State};
+use standin::Memory;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use types::{Incarnation, Timestamp, Version, size};
+
+/// Nodes of a fleet, enough for three levels below the store.
+const NODES: usize = 60;
+
+/// Time within which a version must be in force on every node that can reach the store or another
+/// node.
+const APPLY_TIMEOUT: Duration = Duration::from_millis(2500);
+
+const OPTIONS: WatchOptions = WatchOptions {
+    min_interval: Duration::from_millis(300),
+    first_watch_delay: Duration::from_millis(500),
+    reread_on_change: true,
+};
+
+struct Node {
+    relay: Relay,
+    config: ConfigWatcher<u64>,
+    directory: Directory,
+    cut: watch::Sender<bool>,
+    _listening: JoinSet<()>,
+}
+
+/// Configurations have the size of real ones, so that they travel as differences.
+fn config_text(version: u64) -> String {
+    let route = |route| format!("{{\"route\":{route},\"path\":\"/a/{route}/\"}}");
+    let routes: Vec<String> = (0..200).chain([version]).map(route).collect();
+    format!("{version} [{}]", routes.join(","))
+}
+
+fn decode(bytes: &[u8]) -> Result<(Version, u64), String> {
+    let text = std::str::from_utf8(bytes).map_err(|error| error.to_string())?;
+    let number = text.split(' ').next().unwrap_or_default();
+    let number: u64 = number.parse().map_err(|_| "no number".to_owned())?;
+    let expected = config_text(number);
+    assert_eq!(text, expected, "a version must arrive whole");
+    Ok((Version::new(number), number))
+}
+
+async fn start_node(store: &Memory, name: &str) -> Node {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let record = Record::new(
+        name.parse().unwrap(),
+        address,
+        "north".parse().unwrap(),
+        "north-a".parse().unwrap(),
+        Incarnation::new(1),
+    );
+    let cut = watch::Sender::new(false);
+    let backend = store.backend_with_cut(cut.subscribe());
+    let relay = Relay::start(Arc::clone(&backend), record.id.clone());
+    let config = ConfigWatcher::start(&relay, "op/config", OPTIONS, decode);
+    let directory = Directory::start(backend, &relay, "mesh/", OPTIONS, record);
+    directory.set_upstream(Some(Upstream {
+        service: "renewals".parse().unwrap(),
+        slots: size::Slots::new(12),
+        state: State::Ready,
+        start: UpstreamStart {
+            instance: format!("i-{name}"),
+            started: Timestamp::new(7),
+            address: Some(address),
+        },
+    }));
+    let mut listening = JoinSet::new();
+    let serving = relay.clone();
+    listening.spawn(wire::listen(listener, 100, move |_, stream| {
+        let serving = serving.clone();
+        async move { serving.serve(stream).await }
+    }));
+    Node {
+        relay,
+        config,
+        directory,
+        cut,
+        _listening: listening,
+    }
+}
+
+async fn start_fleet(store: &Memory) -> Vec<Node> {
+    store.set("op/config", config_text(1).as_bytes());
+    let mut nodes = Vec::new();
+    for index in 0..NODES {
+        nodes.push(start_node(store, &format!("n{index}")).await);
+    }
+    let is_settled = || {
+        let following = nodes.iter().filter(|node| node.relay.current_parents() > 0);
+        let known = nodes.iter().map(|node| node.directory.node_count());
+        following.count() == NODES - 3 && known.min() == Some(NODES)
+    };
+    wait(
+        Duration::from_secs(10),
+        "every node follows others",
+        is_settled,
+    )
+    .await;
+    nodes
+}
+
+async fn wait<F>(limit: Duration, what: &str, condition: F)
+where
+    F: Fn() -> bool,
+{
+    let end = Instant::now() + limit;
+    while !condition() {
+        assert!(Instant::now() < end, "not within {limit:?}: {what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn publish(store: &Memory, nodes: &[Node], version: u64) {
+    store.set("op/config", config_text(version).as_bytes());
+    let is_in_force = || {
+        let mut nodes = nodes.iter();
+        nodes.all(|node| node.config.current().as_deref() == Some(&version))
+    };
+    wait(APPLY_TIMEOUT, &format!("version {version}"), is_in_force).await;
+}
+
+fn calls(store: &Memory) -> usize {
+    store.calls("list") + store.calls("watch")
+}
+
+/// Removes the nodes that read the store.
+fn split_readers(nodes: Vec<Node>) -> (Vec<Node>, Vec<Node>) {
+    nodes
+        .into_iter()
+        .partition(|node| node.relay.current_parents() == 0)
+}
+
+/// Guards against calls to the store that grow with the square of the fleet: each node made three
+/// calls for each version, and one for each change of an entry.
+#[tokio::test]
+async fn a_fleet_reads_the_store_through_few_nodes() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    sleep(Duration::from_secs(1)).await;
+    let before = calls(&store);
+    for version in 2..5 {
+        publish(&store, &nodes, version).await;
+        sleep(Duration::from_millis(800)).await;
+    }
+    let calls = calls(&store) - before;
+    // The share of the calls that the users' largest deployment is meant to keep.
+    let direct = 3 * 3 * NODES;
+    assert!(
+        calls * 100 < direct * 15,
+        "{calls} calls instead of {direct}"
+    );
+}
+
+/// Guards against a version that is late on the nodes below a reader that ends, falls silent
+/// towards the store, or is followed by all others at once.
+#[tokio::test]
+async fn versions_arrive_in_time_without_some_readers() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    let (mut readers, others) = split_readers(nodes);
+    readers[0].cut.send_replace(true);
+    publish(&store, &others, 2).await;
+    drop(readers.pop());
+    publish(&store, &others, 3).await;
+    drop(readers.pop());
+    publish(&store, &others, 4).await;
+    drop(readers);
+    publish(&store, &others, 5).await;
+}
+
+/// Guards against nodes that stop following because all nodes above them are cut off from the
+/// store without their connections failing.
+#[tokio::test]
+async fn versions_arrive_in_time_when_all_readers_are_cut_off() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    let (readers, others) = split_readers(nodes);
+    for reader in &readers {
+        reader.cut.send_replace(true);
+    }
+    // Longer than the wait of a watch, which is the time until a reader notices.
+    let noticed = Duration::from_millis(1500 + 800);
+    store.set("op/config", config_text(2).as_bytes());
+    let is_in_force = || {
+        let mut nodes = others.iter();
+        nodes.all(|node| node.config.current().as_deref() == Some(&2))
+    };
+    wait(noticed + APPLY_TIMEOUT, "version 2", is_in_force).await;
+    for reader in &readers {
+        reader.cut.send_replace(false);
+    }
+    publish(&store, &others, 3).await;
+    wait(Duration::from_secs(10), "nodes follow others again", || {
+        others.iter().all(|node| node.relay.current_parents() > 0)
+    })
+    .await;
+}
+
+/// Guards against a node that is cut off from the store and no longer follows, although other nodes
+/// can reach it.
+#[tokio::test]
+async fn a_node_that_is_cut_off_from_the_store_follows_through_others() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    for node in nodes.iter().filter(|node| node.relay.current_parents() > 0) {
+        node.cut.send_replace(true);
+    }
+    publish(&store, &nodes, 2).await;
+}
+
+/// Guards against calls of all nodes during an outage of the store, and against a version that is
+/// late after it.
+#[tokio::test]
+async fn an_outage_of_the_store_is_survived() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    store.set_down(true);
+    store.set("op/config", config_text(2).as_bytes());
+    store.forget_history();
+    let before = calls(&store);
+    sleep(Duration::from_secs(4)).await;
+    let calls = calls(&store) - before;
+    assert!(
+        calls < NODES * 2 * 4,
+        "{calls} calls during an outage of 4 s"
+    );
+    store.set_down(false);
+    publish(&store, &nodes, 3).await;
+}
--- a/crates/directory/tests/versions.rs
+++ b/crates/directory/tests/versions.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use directory::{ConfigWatcher, Directory, Upstream, UpstreamStart, WatchOptions};
+use directory::{ConfigWatcher, Directory, Relay, Upstream, UpstreamStart, WatchOptions};
 use member::{Record, State};
 use standin::Memory;
 use tokio::time::sleep;
@@ -13,6 +13,7 @@
 
 const OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(1200),
+    first_watch_delay: Duration::ZERO,
     reread_on_change: true,
 };
 
@@ -22,8 +23,12 @@
     Ok((Version::new(number), number))
 }
 
+fn start_relay(store: &Memory) -> Relay {
+    Relay::start(store.backend(), "a".parse().unwrap())
+}
+
 fn start_watcher(store: &Memory) -> ConfigWatcher<u64> {
-    ConfigWatcher::start(store.backend(), "op/config", OPTIONS, decode)
+    ConfigWatcher::start(&start_relay(store), "op/config", OPTIONS, decode)
 }
 
 /// Guards against a version that is not put in force in time, and against a valid version that is
@@ -91,8 +96,9 @@
     let store = Memory::default();
     store.set("op/config", b"1");
     let backend = store.backend();
-    let watcher = ConfigWatcher::start(Arc::clone(&backend), "op/config", OPTIONS, decode);
-    let directory = Directory::start(backend, "mesh/", OPTIONS, record());
+    let relay = Relay::start(Arc::clone(&backend), "n1".parse().unwrap());
+    let watcher = ConfigWatcher::start(&relay, "op/config", OPTIONS, decode);
+    let directory = Directory::start(backend, &relay, "mesh/", OPTIONS, record());
     directory.set_upstream(Some(upstream()));
     sleep(Duration::from_secs(4)).await;
     store.deafen_watches();
@@ -104,6 +110,20 @@
     assert_eq!(watcher.current().as_deref(), Some(&2));
 }
 
+/// Guards against a watch on a connection that has gone silent without any other sign: the version
+/// that was written meanwhile came into force only after the 27 s of a long watch.
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_is_restarted_within_seconds() {
+    let store = Memory::default();
+    store.set("op/config", b"1");
+    let watcher = start_watcher(&store);
+    sleep(Duration::from_secs(3)).await;
+    store.deafen_watches();
+    store.set("op/config", b"2");
+    sleep(Duration::from_secs(6)).await;
+    assert_eq!(watcher.current().as_deref(), Some(&2));
+}
+
 fn record() -> Record {
     Record::new(
         "n1".parse().unwrap(),
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -170,7 +170,7 @@
 async fn dispatch_stream(node: Arc<Node>, kind: Kind, stream: Stream) {
     match kind {
         Kind::Call => node.target.serve(stream).await,
-        Kind::Control => log::warn!("control stream refused: nodes share state in the store"),
+        Kind::Control => node.relay.serve(stream).await,
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -6,7 +6,7 @@
 use arc_swap::ArcSwap;
 use bundle::Bundle;
 use call::{Accounts, Announcement, Caller, MeshView, Target, TargetOptions};
-use directory::{ConfigWatcher, Directory, Upstream, UpstreamStart, WatchOptions};
+use directory::{ConfigWatcher, Directory, Relay, Upstream, UpstreamStart, WatchOptions};
 use front::Server;
 use member::{Record, State};
 use route::{AnnouncementHeader, AnnouncementOutcome, Locality, Stage, StartTracker};
@@ -22,6 +22,7 @@
 /// version must be in force.
 const CONFIGURATION_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(1200),
+    first_watch_delay: Duration::from_millis(500),
     reread_on_change: true,
 };
 
@@ -29,6 +30,7 @@
 /// the meantime refuses its calls, which are then sent to another target.
 const NODE_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_secs(3),
+    first_watch_delay: Duration::ZERO,
     reread_on_change: false,
 };
 
@@ -53,6 +55,8 @@
     pub config_watcher: Arc<ConfigWatcher<Configuration>>,
     /// Entries of the other nodes.
     pub directory: Directory,
+    /// Follows the store, and passes its changes on to other nodes.
+    pub relay: Relay,
     /// Target side of the call path, with the upstream beside the node.
     pub target: Target,
     /// Caller side of the call path.
@@ -84,11 +88,17 @@
         };
         let backend = &adapter.backend;
         let node_prefix = &adapter.keys.node_prefix;
-        let directory =
-            Directory::start(Arc::clone(backend), node_prefix, NODE_WATCH_OPTIONS, record);
+        let relay = Relay::start(Arc::clone(backend), record.id.clone());
+        let directory = Directory::start(
+            Arc::clone(backend),
+            &relay,
+            node_prefix,
+            NODE_WATCH_OPTIONS,
+            record,
+        );
         let decode = Arc::clone(&adapter.decode_configuration);
         let config_watcher = Arc::new(ConfigWatcher::start(
-            Arc::clone(backend),
+            &relay,
             &adapter.keys.configuration,
             CONFIGURATION_WATCH_OPTIONS,
             move |bytes| decode(bytes),
@@ -117,6 +127,7 @@
             locality,
             config_watcher,
             directory,
+            relay,
             target,
             caller,
             start_tracker: Mutex::default(),
@@ -168,6 +179,7 @@
     pub fn begin_drain(&self) {
         self.draining.store(true, Ordering::Release);
         self.directory.mark_left();
+        self.relay.close_children();
     }
 
     /// Whether the node refuses requests of callers.
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use directory::{Backend, Change, Error, Health, Item, Lease, LeaseId, Listing, Revision};
+use directory::{
+    Backend, Change, Error, Health, Item, Lease, LeaseId, Listing, Revision, WatchRequest,
+};
 use futures::FutureExt;
 use tokio::sync::watch;
 
-/// Longest time that a watch waits.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Time after which a call that gets no answer fails.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Store in memory. Clones share one state.
 #[derive(Clone, Default)]
@@ -35,6 +37,21 @@
 }
 
 impl Memory {
+    /// The store as a node uses it that may be cut off: while the flag is set, its reads get no
+    /// answer.
+    #[must_use]
+    pub fn backend_with_cut(&self, cut: watch::Receiver<bool>) -> Arc<Backend> {
+        let backend = self.backend();
+        let Some(mut backend) = Arc::into_inner(backend) else {
+            unreachable!("the backend was just created");
+        };
+        let (list, watch) = (backend.list, backend.watch);
+        let list_cut = cut.clone();
+        backend.list = Box::new(move |prefix| cut_off(list(prefix), list_cut.clone()).boxed());
+        backend.watch = Box::new(move |request| cut_off(watch(request), cut.clone()).boxed());
+        Arc::new(backend)
+    }
+
     /// The store as nodes use it.
     #[must_use]
     pub fn backend(&self) -> Arc<Backend> {
@@ -46,9 +63,9 @@
                 let store = list.clone();
                 async move { store.list(&prefix) }.boxed()
             }),
-            watch: Box::new(move |(prefix, after)| {
+            watch: Box::new(move |request| {
                 let store = watch.clone();
-                async move { store.watch(&prefix, after.0).await }.boxed()
+                async move { store.watch(&request).await }.boxed()
             }),
             grant: Box::new(move |life| {
                 let result = grant.called("grant").map(|mut state| {
@@ -164,13 +181,14 @@
         })
     }
 
-    async fn watch(&self, prefix: &str, after: u64) -> Result<(Vec<Change>, Revision), Error> {
+    async fn watch(&self, request: &WatchRequest) -> Result<(Vec<Change>, Revision), Error> {
+        let (prefix, after) = (request.prefix.as_str(), request.after.0);
         let mut revisions = self.revision.subscribe();
         let number = {
             let state = self.called("watch")?;
             state.calls.get("watch").copied().unwrap_or_default()
         };
-        let until = tokio::time::Instant::now() + WATCH_WAIT;
+        let until = tokio::time::Instant::now() + request.wait;
         loop {
             {
                 let state = self.lock();
@@ -237,3 +255,23 @@
         revision
     }
 }
+
+/// Delivers the answer of a call unless the connection is cut at any time until then. The call then
+/// times out.
+async fn cut_off<T, F>(call: F, mut cut: watch::Receiver<bool>) -> Result<T, Error>
+where
+    F: Future<Output = Result<T, Error>>,
+{
+    let is_cut = async move {
+        // An error means that the connection will not be cut any more.
+        if cut.wait_for(|cut| *cut).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep(CALL_TIMEOUT).await;
+    };
+    tokio::select! {
+        biased;
+        () = is_cut => Err(Error::Unavailable("timed out".to_owned())),
+        result = call => result,
+    }
+}
