--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -23,6 +23,8 @@
     exchanges: IntGauge,
     connections: IntGauge,
     peers: IntGauge,
+    parents: IntGauge,
+    children: IntGauge,
     running: IntGauge,
     queued: IntGauge,
 }
@@ -36,6 +38,8 @@
     pub(crate) exchanges: usize,
     pub(crate) connections: usize,
     pub(crate) peers: usize,
+    pub(crate) parents: usize,
+    pub(crate) children: usize,
     pub(crate) running: u32,
     pub(crate) queued: u32,
 }
@@ -90,6 +94,16 @@
                 "Connections to other nodes.",
             )?,
         );
+        let (parents, children) = (
+            gauge(
+                "dandelionseam_parents",
+                "Nodes through which this one follows the store.",
+            )?,
+            gauge(
+                "dandelionseam_children",
+                "Nodes that follow the store through this one.",
+            )?,
+        );
         let (running, queued) = (
             gauge(
                 "dandelionseam_target_running",
@@ -111,6 +125,8 @@
             exchanges,
             connections,
             peers,
+            parents,
+            children,
             running,
             queued,
         })
@@ -153,6 +169,8 @@
             (&self.exchanges, snapshot.exchanges),
             (&self.connections, snapshot.connections),
             (&self.peers, snapshot.peers),
+            (&self.parents, snapshot.parents),
+            (&self.children, snapshot.children),
             (&self.running, snapshot.running as usize),
             (&self.queued, snapshot.queued as usize),
         ] {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -163,6 +163,8 @@
             exchanges: callers.exchanges(),
             connections: callers.connections(),
             peers: self.caller.connection_count(),
+            parents: self.relay.current_parents(),
+            children: self.relay.children(),
             running: load.in_use,
             queued: load.queued,
         })
