Fewer calls to the store at starts and while it refuses a node

- A restarted process knows the revision of its earlier entry, so its first write no longer fails, and it writes only when it has something new to tell, or after 2 s.
- Where a write failed, renewals probe the store until it answers.
- After the first listing a node lists the entries once more, stale, instead of watching: after a common start it finds the nodes to follow by that.
Its watch of the configuration begins 3.7 s after the start, within the 4 s in which it need not have the newest version.

--- a/crates/directory/src/backend.rs
+++ b/crates/directory/src/backend.rs
@@ -77,6 +77,17 @@
     pub key: String,
     /// Value.
     pub value: Bytes,
+    /// Last change of the key; 0 when it is not known, as for an item from another node.
+    pub revision: Revision,
+}
+
+/// Request for all items below a prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListRequest {
+    /// Prefix of the keys.
+    pub prefix: String,
+    /// Whether the answer may be seconds old. Such an answer costs the store less.
+    pub allow_stale: bool,
 }
 
 /// All items whose keys have a prefix.
@@ -140,7 +151,7 @@
     /// Availability of the store, as seen by the calls.
     pub health: Health,
     /// Lists all items below a prefix.
-    pub list: Call<String, Listing>,
+    pub list: Call<ListRequest, Listing>,
     /// Waits for changes below a prefix after a revision. May return without changes.
     pub watch: Call<WatchRequest, Changes>,
     /// Grants a lease with a time to live.
--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -70,6 +70,17 @@
 }
 
 impl Entry {
+    /// Whether another entry tells the same about the node and its upstream, from whichever process
+    /// of the node.
+    pub(crate) fn is_equivalent(&self, other: &Self) -> bool {
+        let record = Record {
+            incarnation: other.record.incarnation,
+            sequence: other.record.sequence,
+            ..self.record.clone()
+        };
+        record == other.record && self.departed == other.departed && self.current == other.current
+    }
+
     pub(crate) fn encode(&self) -> Result<Vec<u8>, codec::Error> {
         let message = message::Entry {
             record: Some(self.record.to_message(0)),
--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -11,7 +11,7 @@
 use crate::entry::{Entry, UpstreamStart};
 use crate::plan::Plan;
 use crate::publish;
-use crate::{Backend, Change, Item, Relay, Replica, Update, WatchOptions};
+use crate::{Backend, Change, Item, Relay, Replica, Revision, Update, WatchOptions};
 
 /// Directory of the nodes in the store, and publisher of the own entry. Clones share one state.
 #[derive(Clone)]
@@ -53,7 +53,8 @@
     /// The store has not been read yet.
     Unknown,
     Absent,
-    Found(Box<Entry>),
+    /// The entry, and its revision.
+    Found(Box<Entry>, Revision),
 }
 
 impl PreviousEntry {
@@ -161,7 +162,7 @@
     pub async fn previous_entry(&self) -> Option<Entry> {
         self.shared.wait_previous_entry().await;
         match &*self.shared.previous_entry.borrow() {
-            PreviousEntry::Found(entry) => Some(entry.as_ref().clone()),
+            PreviousEntry::Found(entry, _) => Some(entry.as_ref().clone()),
             PreviousEntry::Unknown | PreviousEntry::Absent => None,
         }
     }
@@ -248,6 +249,14 @@
             .await;
     }
 
+    /// Entry that an earlier process has left, and its revision, once the store has been read.
+    pub(crate) fn known_previous_entry(&self) -> Option<(Entry, Revision)> {
+        match &*self.previous_entry.borrow() {
+            PreviousEntry::Found(entry, revision) => Some((entry.as_ref().clone(), *revision)),
+            PreviousEntry::Unknown | PreviousEntry::Absent => None,
+        }
+    }
+
     fn apply(&self, update: &Update) {
         let now = Instant::now();
         let mut replica = self.lock();
@@ -265,7 +274,7 @@
                         if entry.is_none() {
                             self.entry_missing.notify_one();
                         }
-                        previous = entry;
+                        previous = entry.map(|entry| (entry, item.revision));
                     }
                 }
             }
@@ -290,7 +299,8 @@
             }
         }
         drop(replica);
-        if let Some(Some(departed)) = previous.as_ref().map(|entry| entry.departed.clone()) {
+        let departed = previous.as_ref().map(|(entry, _)| entry.departed.clone());
+        if let Some(Some(departed)) = departed {
             self.own_entry.send_modify(|own| {
                 own.departed.get_or_insert(departed);
             });
@@ -298,8 +308,8 @@
         self.previous_entry.send_if_modified(|known| {
             let is_first = !known.is_known();
             if is_first {
-                *known = previous.map_or(PreviousEntry::Absent, |entry| {
-                    PreviousEntry::Found(Box::new(entry))
+                *known = previous.map_or(PreviousEntry::Absent, |(entry, revision)| {
+                    PreviousEntry::Found(Box::new(entry), revision)
                 });
             }
             is_first
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -52,7 +52,9 @@
 mod table;
 mod versions;
 
-pub use backend::{Backend, Change, Error, Item, Lease, LeaseId, Listing, Revision, WatchRequest};
+pub use backend::{
+    Backend, Change, Error, Item, Lease, LeaseId, ListRequest, Listing, Revision, WatchRequest,
+};
 pub use difference::{Difference, Segment};
 pub use entry::{Entry, UpstreamStart};
 pub use handle::{Directory, Upstream};
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -14,7 +14,7 @@
 use crate::difference::{Difference, Segment};
 use crate::mirror::LARGE_VALUE_BYTES;
 use crate::table::Table;
-use crate::{Change, Item};
+use crate::{Change, Item, Revision};
 
 /// Large values that both ends of a stream have, by key.
 pub(crate) type KnownValues = HashMap<String, Bytes>;
@@ -112,7 +112,11 @@
     } else {
         known.insert(key.clone(), value.clone());
     }
-    Ok(Change::Put(Item { key, value }))
+    Ok(Change::Put(Item {
+        key,
+        value,
+        revision: Revision::default(),
+    }))
 }
 
 fn encode_difference(difference: &Difference) -> schema_type::Difference {
--- a/crates/directory/src/mirror.rs
+++ b/crates/directory/src/mirror.rs
@@ -104,6 +104,7 @@
                 Change::Put(Item {
                     key: key.clone(),
                     value: item.value.clone(),
+                    revision: Revision::default(),
                 })
             });
         let removals = self
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::handle::Shared;
 use crate::source::Backoff;
@@ -17,6 +17,10 @@
 /// Lease renewals per time to live. Two of them may fail without the lease expiring.
 const RENEWALS_PER_TTL: u32 = 3;
 
+/// Longest time for which an entry that equals the one of an earlier process is not written. Upstreams
+/// announce themselves every 1.5 s, and the first announcement often changes the entry.
+const REWRITE_DELAY: Duration = Duration::from_secs(2);
+
 /// Publishes the own entry until the future is dropped.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut publisher = Publisher {
@@ -48,24 +52,39 @@
             .own_entry
             .wait_for(|own| own.record.service.is_some())
             .await;
+        if let Some((previous, revision)) = self.shared.known_previous_entry() {
+            self.stored_revision = revision;
+            let is_changed = |own: &crate::Entry| !own.is_equivalent(&previous);
+            // A timeout means that the entry stays as it was.
+            let _ = timeout(REWRITE_DELAY, self.own_entry.wait_for(is_changed)).await;
+        }
         let mut backoff = Backoff::new();
         let mut is_written = false;
+        // Whether the store is asked by a renewal, which costs it less than a write, until it
+        // answers again.
+        let mut is_probing = false;
         loop {
-            let result = if is_written {
+            let result = if is_written || is_probing && self.lease.is_some() {
                 self.renew().await
             } else {
                 self.write().await
             };
             self.shared.backend.health.record(&result);
             match result {
+                Ok(()) if is_probing && !is_written => {
+                    is_probing = false;
+                    continue;
+                }
                 Ok(()) => {
                     is_written = true;
+                    is_probing = false;
                     backoff.reset();
                 }
                 Err(Error::LeaseExpired) => {
                     log::warn!("lease of the own entry has expired");
                     self.lease = None;
                     is_written = false;
+                    is_probing = false;
                     continue;
                 }
                 Err(Error::Conflict(revision)) if revision != self.stored_revision => {
@@ -74,6 +93,7 @@
                 }
                 Err(error) => {
                     log::warn!(reason:% = error; "failed to publish the own entry");
+                    is_probing = true;
                     backoff.wait().await;
                     continue;
                 }
@@ -117,6 +137,7 @@
         let item = Item {
             key: self.shared.key(),
             value: Bytes::from(bytes),
+            revision: self.stored_revision,
         };
         self.stored_revision =
             (self.shared.backend.put)((item, lease.id, self.stored_revision)).await?;
--- a/crates/directory/src/source.rs
+++ b/crates/directory/src/source.rs
@@ -7,7 +7,7 @@
 
 use crate::relay::{Shared, State};
 use crate::table::Table;
-use crate::{Change, Error, Item, Revision, WatchRequest};
+use crate::{Change, Error, Item, ListRequest, Revision, WatchRequest};
 
 /// Backoff after the first failed call. It doubles up to a maximum.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
@@ -41,9 +41,12 @@
     /// Minimum time between the starts of two calls, so that a burst of changes costs only one
     /// call.
     pub min_interval: Duration,
-    /// Minimum time between the first listing and the first watch. After a common start of all
-    /// nodes, most of them then have found nodes to follow and make no watch.
+    /// Additional time between the first listing and the next call. After a common start of all
+    /// nodes, most of them have found nodes to follow by then and make no further call.
     pub first_watch_delay: Duration,
+    /// Whether the call after the first listing is another one, which may be stale. It is cheaper
+    /// than a watch and shows the nodes that have started together with this one.
+    pub relist_after_start: bool,
     /// Whether the prefix is listed again after a change, until there are no new values, instead of
     /// watched. A watch returns every intermediate value of a key, which is a lot of data while a
     /// large configuration changes often.
@@ -89,6 +92,9 @@
     }
     sleep(table.options.first_watch_delay).await;
     let mut state = shared.subscribe();
+    if table.options.relist_after_start && state.borrow().reads_store() {
+        source.relist().await;
+    }
     loop {
         // The sender lives in `shared`, so the waits cannot fail.
         let _ = state.wait_for(State::reads_store).await;
@@ -127,7 +133,7 @@
         let mut recovery = backend.health.listen_for_recovery();
         let was_watch = self.reached.is_some();
         let result = match self.reached {
-            None => self.list().await,
+            None => self.list(false).await,
             Some(reached) => tokio::select! {
                 result = self.watch(reached) => result,
                 () = recovery.wait() => return,
@@ -169,8 +175,21 @@
         }
     }
 
-    async fn list(&self) -> Result<(Option<Update>, Revision), Error> {
-        let listing = (self.shared.backend.list)(self.table.prefix.clone()).await?;
+    /// Lists the keys once more. A failure is left to the next call.
+    async fn relist(&mut self) {
+        if let Ok((Some(update), revision)) = self.list(true).await {
+            // An older answer changes nothing.
+            self.table.apply(&update, revision);
+            self.reached = self.reached.max(Some(revision));
+        }
+    }
+
+    async fn list(&self, allow_stale: bool) -> Result<(Option<Update>, Revision), Error> {
+        let request = ListRequest {
+            prefix: self.table.prefix.clone(),
+            allow_stale,
+        };
+        let listing = (self.shared.backend.list)(request).await?;
         Ok((Some(Update::Snapshot(listing.items)), listing.revision))
     }
 
--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -14,6 +14,7 @@
 const OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(100),
     first_watch_delay: Duration::ZERO,
+    relist_after_start: false,
     reread_on_change: false,
 };
 
@@ -239,3 +240,37 @@
     sleep(Duration::from_secs(5)).await;
     assert_eq!(targets(&b), ["a", "b"]);
 }
+
+/// Guards against writes of a restarted process that tell the others nothing new, and against a
+/// first write that fails because the revision of the earlier entry is not known.
+#[tokio::test(start_paused = true)]
+async fn a_restarted_process_writes_its_entry_once() {
+    let store = Memory::default();
+    let old_process = start(&store, "a").await;
+    old_process.close();
+    let before = store.calls("put");
+    let new_process = start_process(&store, "a");
+    new_process.set_upstream(Some(upstream("i-1")));
+    sleep(Duration::from_millis(1500)).await;
+    assert_eq!(store.calls("put"), before, "nothing new to tell");
+    new_process.set_upstream(Some(upstream("i-2")));
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(store.calls("put"), before + 1);
+    let entry = store.get("mesh/a").unwrap();
+    assert!(entry.windows(3).any(|three| three == b"i-2"));
+}
+
+/// Guards against writes that are repeated while the store refuses this node: each costs ten times
+/// as much as a renewal.
+#[tokio::test(start_paused = true)]
+async fn an_outage_is_probed_by_renewals() {
+    let store = Memory::default();
+    let a = start(&store, "a").await;
+    store.set_down(true);
+    a.set_departed(upstream("i-0").start);
+    let before = store.calls("put");
+    sleep(Duration::from_secs(9)).await;
+    assert!(store.calls("put") <= before + 1);
+    store.set_down(false);
+    assert!(a.flush(Deadline::after_ms(2000)).await, "written soon after");
+}
--- a/crates/directory/tests/following.rs
+++ b/crates/directory/tests/following.rs
@@ -117,6 +117,7 @@
         Some(content) => Change::Put(Item {
             key: key(number),
             value: value(content),
+            revision: Revision::default(),
         }),
         None => Change::Removed(key(number)),
     }
@@ -136,7 +137,12 @@
 
 fn snapshot(writes: &[Write], count: usize) -> Update {
     let items = state(writes, count).into_iter();
-    Update::Snapshot(items.map(|(key, value)| Item { key, value }).collect())
+    let items = items.map(|(key, value)| Item {
+        key,
+        value,
+        revision: Revision::default(),
+    });
+    Update::Snapshot(items.collect())
 }
 
 fn content(mirror: &Mirror) -> BTreeMap<String, Bytes> {
--- a/crates/directory/tests/relay.rs
+++ b/crates/directory/tests/relay.rs
@@ -24,6 +24,7 @@
 const OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(300),
     first_watch_delay: Duration::from_millis(500),
+    relist_after_start: false,
     reread_on_change: true,
 };
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -22,7 +22,9 @@
 /// version must be in force.
 const CONFIGURATION_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(1200),
-    first_watch_delay: Duration::from_millis(500),
+    // Within the four seconds in which a node that has started need not have the newest version.
+    first_watch_delay: Duration::from_millis(2500),
+    relist_after_start: false,
     reread_on_change: true,
 };
 
@@ -31,6 +33,7 @@
 const NODE_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_secs(3),
     first_watch_delay: Duration::ZERO,
+    relist_after_start: true,
     reread_on_change: false,
 };
 
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use directory::{
-    Backend, Change, Error, Health, Item, Lease, LeaseId, Listing, Revision, WatchRequest,
+    Backend, Change, Error, Health, Item, Lease, LeaseId, ListRequest, Listing, Revision,
+    WatchRequest,
 };
 use futures::FutureExt;
 use tokio::sync::watch;
@@ -47,7 +48,7 @@
         };
         let (list, watch) = (backend.list, backend.watch);
         let list_cut = cut.clone();
-        backend.list = Box::new(move |prefix| cut_off(list(prefix), list_cut.clone()).boxed());
+        backend.list = Box::new(move |request| cut_off(list(request), list_cut.clone()).boxed());
         backend.watch = Box::new(move |request| cut_off(watch(request), cut.clone()).boxed());
         Arc::new(backend)
     }
@@ -59,9 +60,9 @@
         let (renew, put) = (self.clone(), self.clone());
         Arc::new(Backend {
             health: Health::default(),
-            list: Box::new(move |prefix| {
+            list: Box::new(move |request| {
                 let store = list.clone();
-                async move { store.list(&prefix) }.boxed()
+                async move { store.list(&request) }.boxed()
             }),
             watch: Box::new(move |request| {
                 let store = watch.clone();
@@ -165,15 +166,21 @@
         Ok(state)
     }
 
-    fn list(&self, prefix: &str) -> Result<Listing, Error> {
-        let state = self.called("list")?;
+    fn list(&self, request: &ListRequest) -> Result<Listing, Error> {
+        let kind = if request.allow_stale {
+            "stale list"
+        } else {
+            "list"
+        };
+        let state = self.called(kind)?;
         let items = state
             .items
             .iter()
-            .filter(|(key, _)| key.starts_with(prefix))
-            .map(|(key, (_, value, _))| Item {
+            .filter(|(key, _)| key.starts_with(&request.prefix))
+            .map(|(key, (revision, value, _))| Item {
                 key: key.clone(),
                 value: value.clone(),
+                revision: Revision(*revision),
             });
         Ok(Listing {
             items: items.collect(),
@@ -245,6 +252,7 @@
             Change::Put(Item {
                 key: key.to_owned(),
                 value,
+                revision: Revision(revision),
             })
         } else {
             state.items.remove(key);
