--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -272,5 +272,8 @@
     sleep(Duration::from_secs(9)).await;
     assert!(store.calls("put") <= before + 1);
     store.set_down(false);
-    assert!(a.flush(Deadline::after_ms(2000)).await, "written soon after");
+    assert!(
+        a.flush(Deadline::after_ms(2000)).await,
+        "written soon after"
+    );
 }
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -7,17 +7,9 @@
 use types::id;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::target_state::{SMOOTHING_FACTOR, TargetState, WARM_UP};
 use crate::{Candidate, Choice, Criteria, Load, Locality, Scope, Tier};
 
-/// Age from which a load report is ignored.
-const LOAD_REPORT_TTL: Duration = Duration::from_secs(2);
-
-/// Time over which the weight of a new target rises from [`INITIAL_WEIGHT`] to 1.
-const WARM_UP: Duration = Duration::from_secs(5);
-
-/// Weight of a target when it is first seen.
-const INITIAL_WEIGHT: f64 = 0.1;
-
 /// Load, in calls per slot, from which calls spill over to a farther tier.
 const MAX_LOAD_RATIO: f64 = 0.8;
 
@@ -48,13 +40,6 @@
 /// farther tier.
 const MAX_SLOWNESS_RATIO: f64 = 2.5;
 
-/// Weight of a new sample in the moving averages of service times.
-const SMOOTHING_FACTOR: f64 = 0.15;
-
-/// Time constant with which the measured slowness of a target decays, so that a target that gets no
-/// calls because it was slow is tried again.
-const SLOWNESS_DECAY: Duration = Duration::from_secs(3);
-
 /// Maximum number of routes with a known service time.
 const MAX_ROUTES: usize = 4096;
 
@@ -70,74 +55,6 @@
     last_sweep: Option<Instant>,
 }
 
-#[derive(Debug)]
-struct TargetState {
-    first_seen: Instant,
-    last_used: Instant,
-    in_flight: u32,
-    report: Option<(Load, Instant)>,
-    failures: u32,
-    ejected_until: Option<Instant>,
-    /// Service time relative to the average of all targets, and when it was last measured.
-    slowness: Option<(f64, Instant)>,
-}
-
-impl TargetState {
-    fn new(now: Instant) -> Self {
-        Self {
-            first_seen: now,
-            last_used: now,
-            in_flight: 0,
-            report: None,
-            failures: 0,
-            ejected_until: None,
-            slowness: None,
-        }
-    }
-
-    /// Service time relative to the average of all targets; 1 if unknown.
-    fn slowness(&self, now: Instant) -> f64 {
-        self.slowness.map_or(1.0, |(slowness, measured)| {
-            let age = now.saturating_duration_since(measured).as_secs_f64();
-            1.0 + (slowness - 1.0) * (-age / SLOWNESS_DECAY.as_secs_f64()).exp()
-        })
-    }
-
-    fn record_slowness(&mut self, sample: f64, now: Instant) {
-        let before = self.slowness(now);
-        self.slowness = Some((before + SMOOTHING_FACTOR * (sample - before), now));
-    }
-
-    fn report(&self, now: Instant) -> Option<Load> {
-        let (load, received) = self.report?;
-        (now.saturating_duration_since(received) < LOAD_REPORT_TTL).then_some(load)
-    }
-
-    fn is_ejected(&self, now: Instant) -> bool {
-        self.ejected_until.is_some_and(|until| now < until)
-    }
-
-    /// Weight from [`INITIAL_WEIGHT`] to 1.
-    fn weight(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.first_seen);
-        let share = (age.as_secs_f64() / WARM_UP.as_secs_f64()).min(1.0);
-        INITIAL_WEIGHT + (1.0 - INITIAL_WEIGHT) * share
-    }
-
-    /// Calls per slot at the target, with `extra` calls added.
-    fn load(&self, candidate: &Candidate, extra: u32, now: Instant) -> f64 {
-        let report = self.report(now);
-        let calls = report.map_or(0, |load| load.in_use.saturating_add(load.queued));
-        let slots = report
-            .map(|load| load.slots)
-            .filter(|slots| *slots > 0)
-            .unwrap_or(candidate.slots.get())
-            .max(1);
-        let calls = f64::from(calls) + f64::from(self.in_flight) + f64::from(extra);
-        calls / f64::from(slots)
-    }
-}
-
 impl Balancer {
     /// Creates a balancer without targets.
     #[must_use]
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -38,6 +38,7 @@
 mod retry_budget;
 mod routes;
 mod start_tracker;
+mod target_state;
 mod token_bucket;
 mod upstream_health;
 
