Read large versions from the store instead of sending them to each follower

The links were busy for seconds, connections of followers fell silent, and requests reached targets 0.7 s after their clients had left. A value with more than 32 KB of new bytes is now announced only. The follower reads it from the store, and asks for it as a whole where it cannot. A node without current parents waits 0.25 s for others before it watches the store itself, from the revision that its parents had reached.

--- a/crates/directory/src/child.rs
+++ b/crates/directory/src/child.rs
@@ -94,6 +94,8 @@
     table: Arc<Table>,
     revision: Revision,
     known: KnownValues,
+    /// Whether large values are sent as a whole.
+    whole: bool,
 }
 
 impl Child {
@@ -104,7 +106,7 @@
         };
         let feeds = shared.tables().into_iter().filter_map(|table| {
             let position = find_position(&table)?;
-            Some(Feed::new(table, position))
+            Some(Feed::new(table, position, subscription.whole))
         });
         Self {
             sender,
@@ -130,7 +132,7 @@
 }
 
 impl Feed {
-    fn new(table: Arc<Table>, position: &Position) -> Self {
+    fn new(table: Arc<Table>, position: &Position, whole: bool) -> Self {
         let held = position.held.iter().filter_map(|held| {
             let value = table.find_large_value(held.hash)?;
             Some((held.key.clone(), value))
@@ -138,6 +140,7 @@
         Self {
             revision: Revision(position.revision),
             known: held.collect(),
+            whole,
             table,
         }
     }
@@ -160,7 +163,7 @@
                 size = 0;
             }
             size += change.size();
-            let change = message::encode_change(&self.table, change, &mut self.known);
+            let change = message::encode_change(&self.table, change, &mut self.known, self.whole);
             part.changes.push(change);
         }
         sender.send(&message::wrap(Kind::Batch(part))).await?;
--- a/crates/directory/src/message.rs
+++ b/crates/directory/src/message.rs
@@ -16,12 +16,18 @@
 use crate::table::Table;
 use crate::{Change, Item, Revision};
 
+/// Largest number of new bytes of a value that is sent to a follower. A thin link would be busy for
+/// seconds with a large configuration for each follower, while the store has a wide one.
+const MAX_NEW_BYTES: usize = 32 * 1024;
+
 /// Large values that both ends of a stream have, by key.
 pub(crate) type KnownValues = HashMap<String, Bytes>;
 
 /// Reason why a change from another node cannot be applied.
 #[derive(Debug, Error)]
 pub(crate) enum DecodeError {
+    #[error("`{0}` has to be read from the store")]
+    Notice(String),
     #[error("change of `{0}` has no content")]
     Empty(String),
     #[error("difference of `{0}` does not fit to the known value")]
@@ -33,7 +39,7 @@
 }
 
 /// Builds the first message of a node that follows another one.
-pub(crate) fn encode_subscription<'a, T>(node: &id::Node, tables: T) -> FollowMessage
+pub(crate) fn encode_subscription<'a, T>(node: &id::Node, tables: T, whole: bool) -> FollowMessage
 where
     T: Iterator<Item = (&'a Table, &'a KnownValues)>,
 {
@@ -51,40 +57,50 @@
     wrap(Kind::Subscription(Subscription {
         node: node.to_string(),
         positions: positions.collect(),
+        whole,
     }))
 }
 
-/// Encodes a change for a node that has the `known` values, and adds the value to them.
-pub(crate) fn encode_change(table: &Table, change: Change, known: &mut KnownValues) -> KeyChange {
-    let item = match change {
-        Change::Put(item) => item,
+/// Encodes a change for a node that has the `known` values, and adds the value to them. With `whole`,
+/// a large value is sent as a whole rather than not at all.
+pub(crate) fn encode_change(
+    table: &Table,
+    change: Change,
+    known: &mut KnownValues,
+    whole: bool,
+) -> KeyChange {
+    let (key, state) = match change {
         Change::Removed(key) => {
             known.remove(&key);
-            return KeyChange {
-                key,
-                state: Some(State::Absence(schema_type::Absence {})),
-            };
+            (key, State::Absence(schema_type::Absence {}))
         }
-    };
-    let state = if item.value.len() < LARGE_VALUE_BYTES {
-        known.remove(&item.key);
-        State::Value(item.value.to_vec())
-    } else {
-        let base = known.insert(item.key.clone(), item.value.clone());
-        let difference = base.map(|base| table.compute_difference(&base, &item.value));
-        match difference {
-            Some(difference) if difference.literal_bytes() * 2 < item.value.len() => {
-                State::Difference(encode_difference(&difference))
-            }
-            _ => State::Value(item.value.to_vec()),
+        Change::Put(item) if item.value.len() < LARGE_VALUE_BYTES => {
+            known.remove(&item.key);
+            (item.key, State::Value(item.value.to_vec()))
+        }
+        Change::Put(item) => {
+            let base = known.insert(item.key.clone(), item.value.clone());
+            let state = encode_large_value(table, base.as_ref(), &item.value, whole);
+            (item.key, state)
         }
     };
     KeyChange {
-        key: item.key,
+        key,
         state: Some(state),
     }
 }
 
+fn encode_large_value(table: &Table, base: Option<&Bytes>, value: &Bytes, whole: bool) -> State {
+    let difference = base.map(|base| table.compute_difference(base, value));
+    match difference {
+        Some(difference) if difference.literal_bytes() <= MAX_NEW_BYTES.min(value.len() / 2) => {
+            State::Difference(encode_difference(&difference))
+        }
+        _ if whole || value.len() <= MAX_NEW_BYTES => State::Value(value.to_vec()),
+        _ => State::Notice(schema_type::Notice {}),
+    }
+}
+
 /// Decodes a change, and adds its value to the `known` ones.
 pub(crate) fn decode_change(
     change: KeyChange,
@@ -93,6 +109,7 @@
     let key = change.key;
     let value = match change.state {
         None => return Err(DecodeError::Empty(key)),
+        Some(State::Notice(_)) => return Err(DecodeError::Notice(key)),
         Some(State::Absence(_)) => {
             known.remove(&key);
             return Ok(Change::Removed(key));
--- a/crates/directory/src/parent.rs
+++ b/crates/directory/src/parent.rs
@@ -15,7 +15,7 @@
 use crate::plan::{Parent, Plan};
 use crate::relay::{Shared, State};
 use crate::table::Table;
-use crate::{Change, Revision, Update};
+use crate::{Change, ListRequest, Revision, Update};
 
 /// Timeout for connecting to a parent.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -40,12 +40,17 @@
     UnexpectedMessage,
     #[error("no longer planned")]
     NotPlanned,
+    #[error("a large value was read from the store")]
+    ReadStore,
+    #[error("a large value cannot be read from the store: {0}")]
+    StoreUnavailable(crate::Error),
 }
 
 /// Keeps one parent until the future is dropped. Several of these tasks follow different parents.
 pub(crate) async fn run(shared: Arc<Shared>, index: usize) {
     let mut failures = HashMap::new();
     let mut state = shared.subscribe();
+    let mut whole = false;
     loop {
         let plan = state.borrow_and_update().plan.clone();
         let tables = shared.tables();
@@ -58,9 +63,14 @@
         };
         let node = parent.node.clone();
         let mut link = Link::new(&shared, tables);
-        let Err(reason) = link.follow(&parent, &mut state).await;
+        let Err(reason) = link.follow(&parent, whole, &mut state).await;
         log::info!(parent:% = node, reason:%; "no longer following a parent");
-        if !matches!(reason, EndReason::NotPlanned) {
+        whole = matches!(reason, EndReason::StoreUnavailable(_));
+        let is_failure = !matches!(
+            reason,
+            EndReason::NotPlanned | EndReason::ReadStore | EndReason::StoreUnavailable(_)
+        );
+        if is_failure {
             failures.insert(node, Instant::now());
             sleep(RETRY_DELAY.mul_f64(rand::random_range(0.7..1.3))).await;
         }
@@ -123,6 +133,7 @@
     async fn follow(
         &mut self,
         parent: &Parent,
+        whole: bool,
         state: &mut watch::Receiver<State>,
     ) -> Result<std::convert::Infallible, EndReason> {
         let deadline = Deadline::after(CONNECT_TIMEOUT);
@@ -132,7 +143,7 @@
             mut receiver,
         } = connection.open(wire::Kind::Control).await?;
         let tables = self.tables.iter().map(AsRef::as_ref).zip(&self.known);
-        let subscription = message::encode_subscription(&self.shared.node, tables);
+        let subscription = message::encode_subscription(&self.shared.node, tables, whole);
         sender.send(&subscription).await?;
         loop {
             let received = tokio::select! {
@@ -145,13 +156,13 @@
                     log::info!(parent:% = parent.node, is_current = freshness.fresh; "following a parent");
                     self.set_current(freshness.fresh);
                 }
-                Some(Kind::Batch(batch)) => self.apply(batch)?,
+                Some(Kind::Batch(batch)) => self.apply(batch).await?,
                 _ => return Err(EndReason::UnexpectedMessage),
             }
         }
     }
 
-    fn apply(&mut self, batch: Batch) -> Result<(), EndReason> {
+    async fn apply(&mut self, batch: Batch) -> Result<(), EndReason> {
         self.parts.extend(batch.changes);
         if batch.more {
             return Ok(());
@@ -161,7 +172,14 @@
         let (table, known) = found.ok_or(EndReason::UnexpectedMessage)?;
         let parts = std::mem::take(&mut self.parts).into_iter();
         let changes = parts.map(|change| message::decode_change(change, known));
-        let changes: Vec<Change> = changes.collect::<Result<_, _>>()?;
+        let changes: Vec<Change> = match changes.collect::<Result<_, _>>() {
+            Err(DecodeError::Notice(key)) => {
+                log::info!(key:%; "reading a large value from the store");
+                let table = Arc::clone(table);
+                return read_store(self.shared, &table, Revision(batch.revision)).await;
+            }
+            changes => changes?,
+        };
         let update = if batch.snapshot {
             let items = changes.into_iter().filter_map(Change::into_item);
             Update::Snapshot(items.collect())
@@ -188,6 +206,24 @@
     }
 }
 
+/// Lists the keys of a table in the store, unless another task has reached `revision` meanwhile. Always
+/// ends the stream: the next subscription names the value that was read, so that later versions of it
+/// are differences again.
+async fn read_store(shared: &Shared, table: &Table, revision: Revision) -> Result<(), EndReason> {
+    let _reading = table.start_reading().await;
+    if table.revision() < Some(revision) {
+        let request = ListRequest {
+            prefix: table.prefix.clone(),
+            allow_stale: false,
+        };
+        let listing = (shared.backend.list)(request).await;
+        shared.backend.health.record(&listing);
+        let listing = listing.map_err(EndReason::StoreUnavailable)?;
+        table.apply(&Update::Snapshot(listing.items), listing.revision);
+    }
+    Err(EndReason::ReadStore)
+}
+
 /// Waits until the plan no longer contains a parent.
 async fn wait_not_planned(state: &mut watch::Receiver<State>, parent: &id::Node) {
     let is_planned = |state: &State| {
--- a/crates/directory/src/source.rs
+++ b/crates/directory/src/source.rs
@@ -19,6 +19,9 @@
 /// the recovery from the readers.
 const FALLBACK_BACKOFF: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(4));
 
+/// Time for which a node without a current parent tries others before it reads the store.
+const FALLBACK_DELAY: Duration = Duration::from_millis(250);
+
 /// Time for which a watch waits. A connection that has gone silent is noticed soon after it, if no
 /// other call shows it earlier.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
@@ -98,6 +101,12 @@
     loop {
         // The sender lives in `shared`, so the waits cannot fail.
         let _ = state.wait_for(State::reads_store).await;
+        if !shared.is_reader() {
+            sleep(FALLBACK_DELAY).await;
+            if !state.borrow_and_update().reads_store() {
+                continue;
+            }
+        }
         let mut ending = state.clone();
         tokio::select! {
             () = source.follow() => {}
@@ -121,6 +130,9 @@
 impl Source<'_> {
     async fn follow(&mut self) {
         self.backoff.reset();
+        // Parents may have delivered later changes than the last call.
+        self.reached = self.reached.max(self.table.revision());
+        self.is_settled = true;
         loop {
             self.follow_once().await;
         }
--- a/crates/directory/src/table.rs
+++ b/crates/directory/src/table.rs
@@ -20,6 +20,8 @@
     /// Counts the changes of all tables.
     changes: watch::Sender<u64>,
     is_source_current: AtomicBool,
+    /// Keeps two tasks from reading the same value from the store.
+    reading: tokio::sync::Mutex<()>,
 }
 
 struct Content {
@@ -46,6 +48,7 @@
             }),
             changes,
             is_source_current: AtomicBool::new(false),
+            reading: tokio::sync::Mutex::default(),
         }
     }
 
@@ -64,6 +67,12 @@
         is_new
     }
 
+    /// Waits until no other task reads the keys from the store. They may be read until the guard is
+    /// dropped.
+    pub(crate) async fn start_reading(&self) -> tokio::sync::MutexGuard<'_, ()> {
+        self.reading.lock().await
+    }
+
     /// Changes after a revision; `None` when nothing is known beyond it.
     pub(crate) fn changes_since(&self, after: Revision) -> Option<Batch> {
         self.lock().mirror.changes_since(after)
--- a/crates/directory/tests/relay.rs
+++ b/crates/directory/tests/relay.rs
@@ -36,10 +36,19 @@
     _listening: JoinSet<()>,
 }
 
+/// Versions from which the configuration is a large one without anything in common with the one
+/// before.
+const LARGE_FROM: u64 = 100;
+
 /// Configurations have the size of real ones, so that they travel as differences.
 fn config_text(version: u64) -> String {
-    let route = |route| format!("{{\"route\":{route},\"path\":\"/a/{route}/\"}}");
-    let routes: Vec<String> = (0..200).chain([version]).map(route).collect();
+    let (kind, count) = if version < LARGE_FROM {
+        ("a", 200)
+    } else {
+        ("large", 5000)
+    };
+    let route = |route| format!("{{\"route\":{route},\"path\":\"/{kind}/{route}/\"}}");
+    let routes: Vec<String> = (0..count).chain([version]).map(route).collect();
     format!("{version} [{}]", routes.join(","))
 }
 
@@ -240,3 +249,33 @@
     store.set_down(false);
     publish(&store, &nodes, 3).await;
 }
+
+/// Guards against a large configuration that keeps the links of thin nodes busy for seconds: each
+/// node sent it to all of its followers, whose connections fell silent meanwhile.
+#[tokio::test]
+async fn a_large_value_is_read_from_the_store() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    sleep(Duration::from_secs(1)).await;
+    let before = store.calls("list");
+    publish(&store, &nodes, LARGE_FROM).await;
+    sleep(Duration::from_secs(1)).await;
+    let reads = store.calls("list") - before;
+    assert!((NODES..NODES * 2).contains(&reads), "{reads} reads");
+    // The next version is a small difference again.
+    let before = store.calls("list");
+    publish(&store, &nodes, LARGE_FROM + 1).await;
+    sleep(Duration::from_secs(1)).await;
+    let reads = store.calls("list") - before;
+    assert!(reads < NODES / 2, "{reads} reads");
+}
+
+/// Guards against a node that misses a large configuration because it is cut off from the store.
+#[tokio::test]
+async fn a_large_value_reaches_a_node_that_is_cut_off_from_the_store() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    let follower = nodes.iter().find(|node| node.relay.current_parents() > 0);
+    follower.unwrap().cut.send_replace(true);
+    publish(&store, &nodes, LARGE_FROM).await;
+}
