Readers that have just started follow the store at once

A node with followers now watches right after its first listing and is current after the first watch; the others begin 2.4 s after it, so that they have the newest version 4 s after their start.

--- a/crates/directory/src/plan.rs
+++ b/crates/directory/src/plan.rs
@@ -24,6 +24,8 @@
 pub struct Plan {
     /// Whether this node reads the store.
     pub is_reader: bool,
+    /// Whether other nodes follow this one because it reads the store.
+    pub has_followers: bool,
     /// Other nodes to follow, in order of preference. Empty for a reader.
     pub parents: Vec<Parent>,
 }
@@ -63,9 +65,11 @@
         // Only nodes with a lower priority can be above this one.
         region.retain(|(priority, _)| *priority < own_priority);
         let rank = region.len();
-        if total <= MAX_DIRECT_NODES || rank < READERS_PER_REGION {
+        let is_large = total > MAX_DIRECT_NODES;
+        if !is_large || rank < READERS_PER_REGION {
             return Self {
                 is_reader: true,
+                has_followers: is_large,
                 parents: Vec::new(),
             };
         }
@@ -86,6 +90,7 @@
         parents.truncate(MAX_PARENTS);
         Self {
             is_reader: false,
+            has_followers: false,
             parents,
         }
     }
--- a/crates/directory/src/relay.rs
+++ b/crates/directory/src/relay.rs
@@ -55,6 +55,11 @@
         is_reader || self.current_parents == 0
     }
 
+    /// Whether other nodes follow this one because it reads the store.
+    pub(crate) fn has_followers(&self) -> bool {
+        self.plan.as_ref().is_some_and(|plan| plan.has_followers)
+    }
+
     /// Whether this node knows the changes of the store soon after they were made.
     pub(crate) const fn is_current(&self) -> bool {
         !self.is_closed && (self.current_parents > 0 || self.are_sources_current)
@@ -168,8 +173,9 @@
         state.plan.as_ref().is_none_or(|plan| plan.is_reader)
     }
 
-    pub(crate) fn has_children(&self) -> bool {
-        *self.children.borrow() > 0
+    /// Whether other nodes depend on the calls of this one.
+    pub(crate) fn has_followers(&self) -> bool {
+        *self.children.borrow() > 0 || self.state.borrow().has_followers()
     }
 
     /// Counts a child until the guard is dropped.
--- a/crates/directory/src/source.rs
+++ b/crates/directory/src/source.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::relay::{Shared, State};
 use crate::table::Table;
@@ -26,7 +26,7 @@
 /// other call shows it earlier.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 
-/// Time for which a watch waits while other nodes depend on this one.
+/// Time for which a watch waits where other nodes depend on this one.
 const READER_WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// Update of the items below a prefix.
@@ -44,8 +44,9 @@
     /// Minimum time between the starts of two calls, so that a burst of changes costs only one
     /// call.
     pub min_interval: Duration,
-    /// Additional time between the first listing and the next call. After a common start of all
-    /// nodes, most of them have found nodes to follow by then and make no further call.
+    /// Time between the first listing and the next call, unless other nodes depend on this one. After
+    /// a common start of all nodes, most of them have found nodes to follow by then and make no
+    /// further call.
     pub first_watch_delay: Duration,
     /// Whether the call after the first listing is another one, which may be stale. It is cheaper
     /// than a watch and shows the nodes that have started together with this one.
@@ -91,11 +92,16 @@
         reached: None,
     };
     while source.reached.is_none() {
-        source.follow_once().await;
+        source.call().await;
     }
-    sleep(table.options.first_watch_delay).await;
+    // Not before the first watch: until then this node does not notice changes.
+    shared.set_source_current(&table, false);
     let mut state = shared.subscribe();
-    if table.options.relist_after_start && state.borrow().reads_store() {
+    let delay = table.options.first_watch_delay;
+    let is_needed = timeout(delay, state.wait_for(State::has_followers))
+        .await
+        .is_ok();
+    if !is_needed && table.options.relist_after_start && state.borrow().reads_store() {
         source.relist().await;
     }
     loop {
@@ -134,13 +140,15 @@
         self.reached = self.reached.max(self.table.revision());
         self.is_settled = true;
         loop {
-            self.follow_once().await;
+            let next_call = Instant::now() + self.table.options.min_interval;
+            if self.call().await {
+                sleep_until(next_call).await;
+            }
         }
     }
 
-    /// Makes one call and waits until the next one may begin.
-    async fn follow_once(&mut self) {
-        let next_call = Instant::now() + self.table.options.min_interval;
+    /// Makes one call; returns whether it succeeded. Waits after a failure.
+    async fn call(&mut self) -> bool {
         let backend = &self.shared.backend;
         let mut recovery = backend.health.listen_for_recovery();
         let was_watch = self.reached.is_some();
@@ -148,7 +156,7 @@
             None => self.list(false).await,
             Some(reached) => tokio::select! {
                 result = self.watch(reached) => result,
-                () = recovery.wait() => return,
+                () = recovery.wait() => return false,
             },
         };
         backend.health.record(&result);
@@ -165,11 +173,12 @@
                 self.is_settled = !is_new || self.is_settled && !was_watch;
                 let rereads = self.table.options.reread_on_change && !self.is_settled;
                 self.reached = (!rereads).then_some(revision);
-                sleep_until(next_call).await;
+                true
             }
             Err(Error::Compacted) => {
                 log::info!(prefix; "store has compacted its history; listing the prefix again");
                 self.reached = None;
+                false
             }
             Err(error) => {
                 if self.is_available {
@@ -183,6 +192,7 @@
                     FALLBACK_BACKOFF
                 };
                 self.backoff.wait_within(least, most).await;
+                false
             }
         }
     }
@@ -208,7 +218,7 @@
     async fn watch(&self, reached: Revision) -> Result<(Option<Update>, Revision), Error> {
         // Parents may have delivered later changes.
         let after = reached.max(self.table.revision().unwrap_or_default());
-        let wait = if self.shared.has_children() {
+        let wait = if self.shared.has_followers() {
             READER_WATCH_WAIT
         } else {
             WATCH_WAIT
--- a/crates/directory/tests/following.rs
+++ b/crates/directory/tests/following.rs
@@ -203,6 +203,7 @@
             prop_assert!(is_above(&parent.node, &fleet[own].id));
         }
         prop_assert_eq!(plan.is_reader, plan.parents.is_empty());
+        prop_assert!(plan.is_reader || !plan.has_followers);
     }
 
     /// Guards against a value that is rebuilt wrongly from its difference.
--- a/crates/directory/tests/relay.rs
+++ b/crates/directory/tests/relay.rs
@@ -23,12 +23,14 @@
 
 const OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(300),
-    first_watch_delay: Duration::from_millis(500),
+    // Longer than a version may take: only a reader that does not wait for it is in time.
+    first_watch_delay: Duration::from_millis(3500),
     relist_after_start: false,
     reread_on_change: true,
 };
 
 struct Node {
+    name: String,
     relay: Relay,
     config: ConfigWatcher<u64>,
     directory: Directory,
@@ -93,6 +95,7 @@
         async move { serving.serve(stream).await }
     }));
     Node {
+        name: name.to_owned(),
         relay,
         config,
         directory,
@@ -279,3 +282,18 @@
     follower.unwrap().cut.send_replace(true);
     publish(&store, &nodes, LARGE_FROM).await;
 }
+
+/// Guards against a reader that has just started and calls itself current before it watches the
+/// store: it answered with an old version for four seconds, and its followers relied on it.
+#[tokio::test]
+async fn a_reader_that_has_just_started_follows_at_once() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    let lowest = nodes.iter().find(|node| node.relay.current_parents() == 0);
+    let name = lowest.unwrap().name.clone();
+    let mut nodes: Vec<Node> = nodes.into_iter().filter(|node| node.name != name).collect();
+    let restarted = start_node(&store, &name).await;
+    wait(APPLY_TIMEOUT, "restarted", || restarted.config.is_ready()).await;
+    nodes.push(restarted);
+    publish(&store, &nodes, 2).await;
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -22,8 +22,9 @@
 /// version must be in force.
 const CONFIGURATION_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(1200),
-    // Within the four seconds in which a node that has started need not have the newest version.
-    first_watch_delay: Duration::from_millis(2500),
+    // Long enough to know the nodes to follow, short enough to have the newest version 4 s after the
+    // start, when the platform expects it.
+    first_watch_delay: Duration::from_millis(2400),
     relist_after_start: false,
     reread_on_change: true,
 };
@@ -32,7 +33,7 @@
 /// the meantime refuses its calls, which are then sent to another target.
 const NODE_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_secs(3),
-    first_watch_delay: Duration::ZERO,
+    first_watch_delay: Duration::from_secs(2),
     relist_after_start: true,
     reread_on_change: false,
 };
