--- a/crates/directory/tests/relay.rs
+++ b/crates/directory/tests/relay.rs
@@ -76,7 +76,7 @@
     let cut = watch::Sender::new(false);
     let backend = store.backend_with_cut(cut.subscribe());
     let relay = Relay::start(Arc::clone(&backend), record.id.clone());
-    let config = ConfigWatcher::start(&relay, "op/config", OPTIONS, decode);
+    let config = ConfigWatcher::start(&relay, "config", OPTIONS, decode);
     let directory = Directory::start(backend, &relay, "mesh/", OPTIONS, record);
     directory.set_upstream(Some(Upstream {
         service: "renewals".parse().unwrap(),
@@ -105,7 +105,7 @@
 }
 
 async fn start_fleet(store: &Memory) -> Vec<Node> {
-    store.set("op/config", config_text(1).as_bytes());
+    store.set("config", config_text(1).as_bytes());
     let mut nodes = Vec::new();
     for index in 0..NODES {
         nodes.push(start_node(store, &format!("n{index}")).await);
@@ -136,7 +136,7 @@
 }
 
 async fn publish(store: &Memory, nodes: &[Node], version: u64) {
-    store.set("op/config", config_text(version).as_bytes());
+    store.set("config", config_text(version).as_bytes());
     let is_in_force = || {
         let mut nodes = nodes.iter();
         nodes.all(|node| node.config.current().as_deref() == Some(&version))
@@ -205,7 +205,7 @@
     }
     // Longer than the wait of a watch, which is the time until a reader notices.
     let noticed = Duration::from_millis(1500 + 800);
-    store.set("op/config", config_text(2).as_bytes());
+    store.set("config", config_text(2).as_bytes());
     let is_in_force = || {
         let mut nodes = others.iter();
         nodes.all(|node| node.config.current().as_deref() == Some(&2))
@@ -240,7 +240,7 @@
     let store = Memory::default();
     let nodes = start_fleet(&store).await;
     store.set_down(true);
-    store.set("op/config", config_text(2).as_bytes());
+    store.set("config", config_text(2).as_bytes());
     store.forget_history();
     let before = calls(&store);
     sleep(Duration::from_secs(4)).await;
