--- a/crates/directory/tests/versions.rs
+++ b/crates/directory/tests/versions.rs
@@ -29,7 +29,7 @@
 }
 
 fn start_watcher(store: &Memory) -> ConfigWatcher<u64> {
-    ConfigWatcher::start(&start_relay(store), "op/config", OPTIONS, decode)
+    ConfigWatcher::start(&start_relay(store), "config", OPTIONS, decode)
 }
 
 /// Guards against a version that is not put in force in time, and against a valid version that is
@@ -48,7 +48,7 @@
         ("", 8),
         ("9", 9),
     ] {
-        store.set("op/config", written.as_bytes());
+        store.set("config", written.as_bytes());
         sleep(Duration::from_millis(2500)).await;
         assert_eq!(watcher.current().as_deref(), Some(&expected), "{written}");
     }
@@ -59,12 +59,12 @@
 #[tokio::test(start_paused = true)]
 async fn a_burst_costs_few_reads_and_ends_with_its_last_version() {
     let store = Memory::default();
-    store.set("op/config", b"1");
+    store.set("config", b"1");
     let watcher = start_watcher(&store);
     sleep(Duration::from_secs(5)).await;
     let before = store.calls("list") + store.calls("watch");
     for version in 2..27 {
-        store.set("op/config", version.to_string().as_bytes());
+        store.set("config", version.to_string().as_bytes());
         sleep(Duration::from_millis(200)).await;
     }
     sleep(Duration::from_millis(2500)).await;
@@ -77,11 +77,11 @@
 #[tokio::test(start_paused = true)]
 async fn a_version_written_during_an_outage_is_in_force_soon_after_it() {
     let store = Memory::default();
-    store.set("op/config", b"1");
+    store.set("config", b"1");
     let watcher = start_watcher(&store);
     sleep(Duration::from_secs(2)).await;
     store.set_down(true);
-    store.set("op/config", b"2");
+    store.set("config", b"2");
     store.forget_history();
     sleep(Duration::from_secs(20)).await;
     assert_eq!(watcher.current().as_deref(), Some(&1));
@@ -95,16 +95,16 @@
 #[tokio::test(start_paused = true)]
 async fn a_stalled_watch_is_restarted_when_the_store_recovers() {
     let store = Memory::default();
-    store.set("op/config", b"1");
+    store.set("config", b"1");
     let backend = store.backend();
     let relay = Relay::start(Arc::clone(&backend), "n1".parse().unwrap());
-    let watcher = ConfigWatcher::start(&relay, "op/config", OPTIONS, decode);
+    let watcher = ConfigWatcher::start(&relay, "config", OPTIONS, decode);
     let directory = Directory::start(backend, &relay, "mesh/", OPTIONS, record());
     directory.set_upstream(Some(upstream()));
     sleep(Duration::from_secs(4)).await;
     store.deafen_watches();
     store.set_down(true);
-    store.set("op/config", b"2");
+    store.set("config", b"2");
     sleep(Duration::from_secs(5)).await;
     store.set_down(false);
     sleep(Duration::from_millis(2500)).await;
@@ -116,11 +116,11 @@
 #[tokio::test(start_paused = true)]
 async fn a_silent_watch_is_restarted_within_seconds() {
     let store = Memory::default();
-    store.set("op/config", b"1");
+    store.set("config", b"1");
     let watcher = start_watcher(&store);
     sleep(Duration::from_secs(3)).await;
     store.deafen_watches();
-    store.set("op/config", b"2");
+    store.set("config", b"2");
     sleep(Duration::from_secs(6)).await;
     assert_eq!(watcher.current().as_deref(), Some(&2));
 }
--- a/crates/sidecar/tests/nodes.rs
+++ b/crates/sidecar/tests/nodes.rs
@@ -98,7 +98,7 @@
     Adapter {
         backend: store.backend(),
         keys: Keys {
-            configuration: "op/config".to_owned(),
+            configuration: "config".to_owned(),
             node_prefix: "mesh/".to_owned(),
         },
         decode_configuration: Arc::new(decode),
@@ -240,7 +240,7 @@
 #[tokio::test]
 async fn request_reaches_the_upstream_of_another_node_unchanged() {
     let store = Memory::default();
-    store.set("op/config", b"3");
+    store.set("config", b"3");
     let (a, b) = (start_node(&store, "a").await, start_node(&store, "b").await);
     let upstream = start_upstream();
     wait_status(b.ready, "GET /", "200").await;
@@ -269,7 +269,7 @@
     let refused = send(node.callers, "GET /nowhere").await;
     assert_eq!(status(&refused), "503");
     assert!(refused.contains("retry-after-ms: 80"), "{refused}");
-    store.set("op/config", b"3");
+    store.set("config", b"3");
     wait_status(node.ready, "GET /", "200").await;
     assert_eq!(status(&send(node.callers, "GET /nowhere").await), "404");
     let unavailable = send(node.callers, "GET /status/1").await;
@@ -283,7 +283,7 @@
 #[tokio::test]
 async fn announcement_before_the_directory_is_loaded_takes_effect() {
     let store = Memory::default();
-    store.set("op/config", b"1");
+    store.set("config", b"1");
     store.set_down(true);
     let node = start_node(&store, "a").await;
     let upstream = start_upstream();
@@ -300,7 +300,7 @@
 #[tokio::test]
 async fn no_request_reaches_an_upstream_that_drains_or_has_left() {
     let store = Memory::default();
-    store.set("op/config", b"3");
+    store.set("config", b"3");
     let node = start_node(&store, "a").await;
     let upstream = start_upstream();
     wait_status(node.ready, "GET /", "200").await;
@@ -334,7 +334,7 @@
         "POST /heartbeat/i-1/7/9/draining/127.0.0.1:1",
     ] {
         let store = Memory::default();
-        store.set("op/config", b"3");
+        store.set("config", b"3");
         let first = start_node(&store, "a").await;
         let upstream = start_upstream();
         wait_status(first.ready, "GET /", "200").await;
@@ -365,7 +365,7 @@
 #[tokio::test]
 async fn odd_announcements_do_not_replace_the_upstream() {
     let store = Memory::default();
-    store.set("op/config", b"3");
+    store.set("config", b"3");
     let node = start_node(&store, "a").await;
     let upstream = start_upstream();
     wait_status(node.ready, "GET /", "200").await;
