Give each node of the sidecar's tests a loopback address of its own

The ports of a node were found by binding to port 0 and closing again, so the node of another test, or a client, could take one before the node bound it; the node ended, and the wait for its port went on. A node that ends now fails its test, and the waits are bounded.

--- a/crates/sidecar/tests/nodes.rs
+++ b/crates/sidecar/tests/nodes.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
 use sidecar::{Adapter, Configuration, Keys, RequestMetadata, UpstreamMessage};
 use standin::Memory;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use types::{Timestamp, Version, size};
 
@@ -127,19 +127,20 @@
     _settings: tempfile::NamedTempFile,
 }
 
-async fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
+/// First of the ports of a node. Below the range from which the system takes the ports of clients.
+const FIRST_PORT: u16 = 7601;
+
+/// Addresses of the ports of the next node, on a loopback IP of its own. A port that is found free and
+/// bound later may be taken in between, by a node of another test or by a client.
+fn reserve_ports() -> [SocketAddr; 5] {
+    static NODES: AtomicU8 = AtomicU8::new(1);
+    let node = NODES.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    [0, 1, 2, 3, 4].map(|port| SocketAddr::from(([127, high | 128, low, node], FIRST_PORT + port)))
 }
 
 async fn start_node(store: &Memory, name: &str) -> Node {
-    let mut ports = Vec::new();
-    for _ in 0..5 {
-        ports.push(free_port().await);
-    }
-    let [callers, peers, ready, announcements, metrics] = ports[..] else {
-        unreachable!();
-    };
+    let [callers, peers, ready, announcements, metrics] = reserve_ports();
     let text = format!(
         "[node]\nid = {name}\nregion = north\ndomain = north-a\n[listen]\ncallers = {callers}\n\
          peers = {peers}\nready = {ready}\nannouncements = {announcements}\nmetrics = {metrics}\n\
@@ -148,22 +149,25 @@
     let settings = Settings::read("node.ini", &text).unwrap();
     let file = tempfile::NamedTempFile::new().unwrap();
     std::fs::write(file.path(), &text).unwrap();
-    tokio::spawn(sidecar::run(
+    let running = tokio::spawn(sidecar::run(
         file.path().to_owned(),
         settings,
         build_adapter(store),
     ));
-    let node = Node {
+    let connecting = async {
+        while TcpStream::connect(announcements).await.is_err() {
+            assert!(!running.is_finished(), "node {name} has ended");
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(TIMEOUT, connecting).await.unwrap();
+    Node {
         callers,
         ready,
         announcements,
         metrics,
         _settings: file,
-    };
-    while TcpStream::connect(announcements).await.is_err() {
-        sleep(Duration::from_millis(10)).await;
     }
-    node
 }
 
 /// Sends one request on a new connection and returns the complete response.
@@ -340,9 +344,12 @@
         wait_status(first.ready, "GET /", "200").await;
         upstream.send_heartbeat(&first, "i-1", 1, "ready").await;
         wait_status(first.callers, "GET /status/1", "200").await;
-        while store.get("mesh/a").is_none() {
-            sleep(Duration::from_millis(10)).await;
-        }
+        let writing = async {
+            while store.get("mesh/a").is_none() {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(TIMEOUT, writing).await.unwrap();
         store.set_down(true);
         let second = start_node(&store, "a").await;
         assert_eq!(status(&send(second.announcements, message).await), "200");
