Split the update of the directory into steps

The departure of an earlier process counted as a change of the own entry at each listing, so the entry was written again; it is taken over once.

--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -73,6 +73,26 @@
     pub(crate) lease: Option<LeaseId>,
 }
 
+/// What an update says about the own entry.
+enum OwnUpdate {
+    None,
+    /// The entry does not exist, or cannot be used.
+    Missing,
+    Found(Box<StoredEntry>),
+}
+
+impl OwnUpdate {
+    fn new(entry: Option<Entry>, item: &Item) -> Self {
+        entry.map_or(Self::Missing, |entry| {
+            Self::Found(Box::new(StoredEntry {
+                entry,
+                revision: item.revision,
+                lease: item.lease,
+            }))
+        })
+    }
+}
+
 impl PreviousEntry {
     const fn is_known(&self) -> bool {
         !matches!(self, Self::Unknown)
@@ -275,24 +295,39 @@
 
     /// Applies an update that is complete up to the revision `reached`.
     fn apply(&self, update: &Update, reached: Revision) {
+        match self.update_replica(update, reached) {
+            OwnUpdate::None => {}
+            OwnUpdate::Found(stored) => {
+                self.keep_departed(&stored.entry);
+                self.resolve_previous(PreviousEntry::Found(stored));
+            }
+            OwnUpdate::Missing => {
+                // An update from before the write does not contain the entry.
+                let was_written = |written: Written| reached > written.revision;
+                if self.written.borrow().is_some_and(was_written) {
+                    self.entry_missing.notify_one();
+                }
+                self.resolve_previous(PreviousEntry::Absent);
+            }
+        }
+        self.updated.notify_one();
+    }
+
+    /// Updates the records of the nodes; returns what the update says about the own entry.
+    fn update_replica(&self, update: &Update, reached: Revision) -> OwnUpdate {
         let now = Instant::now();
         let own_key = self.key();
         let mut replica = self.lock();
-        let mut previous = None;
-        let mut is_own_missing = matches!(update, Update::Snapshot(_));
+        let mut own = OwnUpdate::None;
         match update {
             Update::Snapshot(items) => {
-                replica.retain(|key| items.iter().any(|item| item.key == key), now);
+                own = OwnUpdate::Missing;
                 let is_first = !self.is_loaded();
+                replica.retain(|key| items.iter().any(|item| item.key == key), now);
                 for item in items {
                     let entry = store_entry(&mut replica, &self.prefix, item, is_first);
                     if item.key == own_key {
-                        is_own_missing = entry.is_none();
-                        previous = entry.map(|entry| StoredEntry {
-                            entry,
-                            revision: item.revision,
-                            lease: item.lease,
-                        });
+                        own = OwnUpdate::new(entry, item);
                     }
                 }
                 if is_first {
@@ -306,42 +341,43 @@
                         Change::Put(item) => {
                             let entry = store_entry(&mut replica, &self.prefix, item, false);
                             if item.key == own_key {
-                                is_own_missing = entry.is_none();
+                                own = OwnUpdate::new(entry, item);
                             }
                         }
                         Change::Removed(key) => {
                             log::info!(key:%; "node entry removed");
                             replica.mark_removed(key, now);
-                            is_own_missing |= *key == own_key;
+                            if *key == own_key {
+                                own = OwnUpdate::Missing;
+                            }
                         }
                     }
                 }
             }
         }
-        drop(replica);
-        // An update from before the write does not contain the entry.
-        let was_written = |written: Written| reached > written.revision;
-        if is_own_missing && self.written.borrow().is_some_and(was_written) {
-            self.entry_missing.notify_one();
-        }
-        let departed = previous
-            .as_ref()
-            .map(|stored| stored.entry.departed.clone());
-        if let Some(Some(departed)) = departed {
-            self.own_entry.send_modify(|own| {
-                own.departed.get_or_insert(departed);
-            });
-        }
+        own
+    }
+
+    /// Takes over the departure that an earlier process has published.
+    fn keep_departed(&self, stored: &Entry) {
+        self.own_entry.send_if_modified(|own| {
+            let is_new = own.departed.is_none() && stored.departed.is_some();
+            if is_new {
+                own.departed.clone_from(&stored.departed);
+            }
+            is_new
+        });
+    }
+
+    /// Records what an earlier process has left, as the first listing shows it.
+    fn resolve_previous(&self, previous: PreviousEntry) {
         self.previous_entry.send_if_modified(|known| {
             let is_first = !known.is_known();
             if is_first {
-                *known = previous.map_or(PreviousEntry::Absent, |stored| {
-                    PreviousEntry::Found(Box::new(stored))
-                });
+                *known = previous;
             }
             is_first
         });
-        self.updated.notify_one();
     }
 
     fn plan(&self) -> Plan {
