--- a/crates/directory/src/child.rs
+++ b/crates/directory/src/child.rs
@@ -170,8 +170,8 @@
         Ok(())
     }
 
-    /// Finds the large values that the child has. This node may have subscribed before it had read
-    /// the store itself.
+    /// Finds the large values that the child has. The child may have subscribed before this node had
+    /// read the store.
     fn resolve_held(&mut self) {
         let Self {
             table,
@@ -179,6 +179,8 @@
             unresolved,
             ..
         } = self;
+        // The child no longer has a value in place of which another one was sent.
+        unresolved.retain(|held| !known.contains_key(&held.key));
         unresolved.retain(|held| match table.find_large_value(held.hash) {
             Some(value) => {
                 known.insert(held.key.clone(), value);
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -57,13 +57,12 @@
             self.stored_revision = stored.revision;
             self.adopt_lease(stored.lease).await;
             let is_changed = |own: &crate::Entry| !own.is_equivalent(&stored.entry);
-            let changing = self.own_entry.wait_for(is_changed);
             // A timeout means that the entry stays as it was.
-            let is_same = timeout(REWRITE_DELAY, changing).await.is_err();
-            if is_same && self.lease.is_some() {
+            let _ = timeout(REWRITE_DELAY, self.own_entry.wait_for(is_changed)).await;
+            let own = self.own_entry.borrow_and_update().clone();
+            if self.lease.is_some() && !is_changed(&own) {
                 is_written = true;
-                let sequence = self.own_entry.borrow_and_update().record.sequence;
-                self.record_written(sequence);
+                self.record_written(own.record.sequence);
             }
         }
         let mut backoff = Backoff::new();
