Connect to parents as soon as the first listings have been read

The end of a first listing wakes them. The own reading begins 2.8 s after the first listing. Test: a_node_whose_configuration_arrives_last_follows_at_once, failed with the mechanism broken.

--- a/crates/directory/src/parent.rs
+++ b/crates/directory/src/parent.rs
@@ -52,9 +52,12 @@
     let mut state = shared.subscribe();
     let mut whole = false;
     loop {
-        let plan = state.borrow_and_update().plan.clone();
+        let (plan, loaded_tables) = {
+            let state = state.borrow_and_update();
+            (state.plan.clone(), state.loaded_tables)
+        };
         let tables = shared.tables();
-        let is_loaded = tables.iter().all(|table| table.revision().is_some());
+        let is_loaded = loaded_tables == tables.len();
         let parent = plan.and_then(|plan| choose_parent(&plan, index, &failures));
         let Some(parent) = parent.filter(|_| is_loaded) else {
             // The sender lives in `shared`, so the wait cannot fail.
--- a/crates/directory/src/relay.rs
+++ b/crates/directory/src/relay.rs
@@ -42,6 +42,8 @@
     pub(crate) plan: Option<Arc<Plan>>,
     /// Parents that are connected and current.
     pub(crate) current_parents: usize,
+    /// Tables whose first listing has been read.
+    pub(crate) loaded_tables: usize,
     /// Whether the store has answered the last call for each table.
     are_sources_current: bool,
     /// Whether other nodes may follow this one.
@@ -191,6 +193,11 @@
         *self.children.borrow()
     }
 
+    /// Records that the first listing of a table has been read.
+    pub(crate) fn add_loaded_table(&self) {
+        self.state.send_modify(|state| state.loaded_tables += 1);
+    }
+
     pub(crate) fn add_current_parent(&self) {
         self.state.send_modify(|state| state.current_parents += 1);
     }
--- a/crates/directory/src/source.rs
+++ b/crates/directory/src/source.rs
@@ -22,9 +22,10 @@
 /// Time for which a node without a current parent tries others before it reads the store.
 const FALLBACK_DELAY: Duration = Duration::from_millis(250);
 
-/// Time after the start for which a node that knows other nodes waits for one of them to be current
-/// before it reads the store. All nodes may have started at the same time.
-const START_FALLBACK_DELAY: Duration = Duration::from_millis(800);
+/// Time after the first listing for which a node that knows other nodes waits for one of them to be
+/// current before it reads the store. All nodes may have started at the same time, and the platform
+/// expects the newest version 4 s after the start.
+const START_FALLBACK_DELAY: Duration = Duration::from_millis(2800);
 
 /// Time within which new entries change the plan of this node.
 const PLAN_DELAY: Duration = Duration::from_millis(250);
@@ -109,11 +110,12 @@
     while source.reached.is_none() {
         source.call().await;
     }
+    shared.add_loaded_table();
     // Not before the first watch: until then this node does not notice changes.
     shared.set_source_current(&table, false);
     let mut state = shared.subscribe();
     let delay = table.options.first_watch_delay;
-    let mut fallback_at = Instant::now() + delay + START_FALLBACK_DELAY;
+    let mut fallback_at = Instant::now() + START_FALLBACK_DELAY;
     let is_needed = timeout(delay, state.wait_for(State::has_followers))
         .await
         .is_ok();
--- a/crates/directory/tests/relay.rs
+++ b/crates/directory/tests/relay.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use directory::{ConfigWatcher, Directory, Relay, Upstream, UpstreamStart, WatchOptions};
+use directory::{Backend, ConfigWatcher, Directory, Relay, Upstream, UpstreamStart, WatchOptions};
 use member::{Record, State};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -85,6 +85,17 @@
 }
 
 async fn start_node(store: &Memory, name: &str, options: WatchOptions) -> Node {
+    let cut = watch::Sender::new(false);
+    let backend = store.backend_with_cut(cut.subscribe());
+    start_node_with(backend, cut, name, options).await
+}
+
+async fn start_node_with(
+    backend: Arc<Backend>,
+    cut: watch::Sender<bool>,
+    name: &str,
+    options: WatchOptions,
+) -> Node {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let record = Record::new(
@@ -94,8 +105,6 @@
         "north-a".parse().unwrap(),
         Incarnation::new(1),
     );
-    let cut = watch::Sender::new(false);
-    let backend = store.backend_with_cut(cut.subscribe());
     let relay = Relay::start(Arc::clone(&backend), record.id.clone());
     let config = ConfigWatcher::start(&relay, "config", options, decode);
     let directory = Directory::start(backend, &relay, "mesh/", options, record);
@@ -350,3 +359,28 @@
     nodes.push(restarted);
     publish(&store, &nodes, 2).await;
 }
+
+/// Guards against a new node that follows nobody for seconds, because its configuration arrived after
+/// the entries: nothing woke the tasks that connect to other nodes.
+#[tokio::test]
+async fn a_node_whose_configuration_arrives_last_follows_at_once() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    let mut backend = Arc::into_inner(store.backend()).unwrap();
+    let list = backend.list;
+    backend.list = Box::new(move |request| {
+        let is_slow = request.prefix == "config";
+        let listing = list(request);
+        Box::pin(async move {
+            if is_slow {
+                sleep(Duration::from_millis(400)).await;
+            }
+            listing.await
+        })
+    });
+    let cut = watch::Sender::new(false);
+    let added = start_node_with(Arc::new(backend), cut, "n-added", OPTIONS).await;
+    let is_following = || added.relay.current_parents() > 0;
+    wait(Duration::from_millis(1500), "follows", is_following).await;
+    drop(nodes);
+}
