Count a call whose whole answer was delivered as answered

The call counted as abandoned by its caller (fault caller, outcome unknown). A body that has handed out every byte no longer looks at the connection. The length is read in one place now.

--- a/crates/call/src/call_record.rs
+++ b/crates/call/src/call_record.rs
@@ -8,7 +8,7 @@
 
 use crate::target_stats::InFlight;
 use crate::upstream_answer::UpstreamAnswer;
-use crate::{Accounts, Answer, Body, BodyError, FailedCall, Failure};
+use crate::{Accounts, Answer, Body, BodyError, FailedCall, Failure, content_length};
 
 /// Record of one call, which enters the owners' accounts exactly once. A call that is dropped
 /// before its end counts as cancelled.
@@ -80,10 +80,10 @@
         };
         let (request, version) = (self.request.clone(), self.version);
         let upstream_time = Some(answer.upstream_time).filter(|time| !time.is_zero());
-        let length = answer.headers.get(header::CONTENT_LENGTH);
+        let remaining = content_length(&answer.headers);
         let mut body = TrackedBody {
             chunks: answer.body,
-            remaining: length.and_then(|value| value.to_str().ok()?.parse().ok()),
+            remaining,
             fault: fault.clone(),
             reason: reason.clone(),
             record: self,
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use futures::stream::{self, BoxStream, StreamExt};
-use http::{HeaderMap, StatusCode, header};
+use http::StatusCode;
 use schema::call::{AnswerHead, End, Message, message::Kind};
 use tokio::time::{Instant, timeout, timeout_at};
 use types::Deadline;
@@ -14,7 +14,7 @@
 use crate::routed_call::RoutedCall;
 use crate::shaper::{CHUNK_BYTES, Reservation, read_ahead};
 use crate::upstream_answer::UpstreamAnswer;
-use crate::{BodyError, Failure, RequestBody, Target};
+use crate::{BodyError, Failure, RequestBody, Target, content_length};
 
 /// Body of an answer.
 type AnswerBody = BoxStream<'static, Result<Bytes, BodyError>>;
@@ -200,8 +200,3 @@
     }
     Ok(())
 }
-
-fn content_length(headers: &HeaderMap) -> Option<u64> {
-    let value = headers.get(header::CONTENT_LENGTH)?;
-    value.to_str().ok()?.parse().ok()
-}
--- a/crates/node/src/call_handler.rs
+++ b/crates/node/src/call_handler.rs
@@ -158,8 +158,9 @@
             }
         };
         active.record_answer(&answer);
+        let length = call::content_length(&answer.headers);
         build_response(method, answer, |body| {
-            ResponseBody::new(body, forwarding, active)
+            ResponseBody::new(body, length, forwarding, active)
         })
         .await
     }
--- a/crates/node/src/response_body.rs
+++ b/crates/node/src/response_body.rs
@@ -22,6 +22,8 @@
 pub struct ResponseBody<'r> {
     body: Body,
     chunk: Bytes,
+    /// Bytes that the caller still expects, if the length is known.
+    remaining: Option<u64>,
     forwarding: Option<BoxFuture<'r, ()>>,
     closed: BoxFuture<'static, ()>,
     call: ActiveCall,
@@ -39,13 +41,20 @@
 }
 
 impl<'r> ResponseBody<'r> {
-    /// Creates the stream of `body`. `forwarding` forwards the rest of the request body.
+    /// Creates the stream of `body`, of which the caller expects `length` bytes if that is known.
+    /// `forwarding` forwards the rest of the request body.
     #[must_use]
-    pub fn new(body: Body, forwarding: Option<BoxFuture<'r, ()>>, call: ActiveCall) -> Self {
+    pub fn new(
+        body: Body,
+        length: Option<u64>,
+        forwarding: Option<BoxFuture<'r, ()>>,
+        call: ActiveCall,
+    ) -> Self {
         let connection = Arc::clone(&call.connection);
         Self {
             body,
             chunk: Bytes::new(),
+            remaining: length,
             forwarding,
             closed: Box::pin(async move { connection.wait_closed().await }),
             call,
@@ -64,12 +73,17 @@
         {
             self.forwarding = None;
         }
-        if self.closed.as_mut().poll(context).is_ready() {
+        // A caller that has received every byte may disconnect before the end of the body is polled.
+        let is_delivered = self.remaining == Some(0);
+        if !is_delivered && self.closed.as_mut().poll(context).is_ready() {
             self.call.result = (Outcome::Unknown, Fault::Caller);
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
         match ready!(self.body.poll_next_unpin(context)) {
             Some(Ok(chunk)) => {
+                if let Some(remaining) = &mut self.remaining {
+                    *remaining = remaining.saturating_sub(chunk.len() as u64);
+                }
                 self.chunk = chunk;
                 Poll::Ready(Ok(true))
             }
--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -28,6 +28,13 @@
 const PROMPT_TIMEOUT: Duration = Duration::from_secs(10);
 
 async fn start<F>(call: F) -> SocketAddr
+where
+    F: Fn(Request) -> BoxFuture<'static, Answer> + Send + Sync + 'static,
+{
+    start_with(call, Metrics::new().unwrap().into()).await
+}
+
+async fn start_with<F>(call: F, metrics: Arc<Metrics>) -> SocketAddr
 where
     F: Fn(Request) -> BoxFuture<'static, Answer> + Send + Sync + 'static,
 {
@@ -42,7 +49,6 @@
         body: size::Bytes::new(BODY_LIMIT),
         in_flight: 64,
     };
-    let metrics = Arc::new(Metrics::new().unwrap());
     let handler = CallHandler::new(dispatcher, Arc::clone(&relay), metrics, limits);
     Frontend::start(listener, relay, handler.build_server(), 128)
         .await
@@ -249,6 +255,48 @@
     assert_eq!(dropped, Ok(None), "the call must be dropped");
 }
 
+/// Guards against a call that counts as abandoned by its caller although the whole answer was
+/// delivered, because the caller disconnects before the end of the body has been read.
+#[tokio::test]
+async fn disconnect_after_the_last_byte_does_not_fail_the_call() {
+    let metrics = Arc::new(Metrics::new().unwrap());
+    let call = |request: Request| {
+        let body = stream::iter([Ok(Bytes::from_static(b"done"))]);
+        let end = stream::once(tokio::time::sleep(Duration::from_millis(200)));
+        let body = body.chain(end.filter_map(|()| async { None }));
+        let mut answer = answer(&request, Body::new(body));
+        answer.headers.insert("content-length", 4.into());
+        async move { answer }.boxed()
+    };
+    let address = start_with(call, Arc::clone(&metrics)).await;
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    socket.write_all(request).await.unwrap();
+    let mut received = Vec::new();
+    while !received.ends_with(b"done") {
+        let reading = timeout(PROMPT_TIMEOUT, socket.read_buf(&mut received));
+        assert!(reading.await.unwrap().unwrap() > 0, "{received:?}");
+    }
+    drop(socket);
+    let counted = async {
+        loop {
+            let text = metrics.encode().unwrap();
+            let line = text
+                .lines()
+                .find(|line| line.starts_with("dandelionseam_calls_total{"));
+            match line {
+                Some(line) => return line.to_owned(),
+                None => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    };
+    let line = timeout(PROMPT_TIMEOUT, counted).await.unwrap();
+    assert_eq!(
+        line,
+        "dandelionseam_calls_total{fault=\"none\",outcome=\"ran\"} 1"
+    );
+}
+
 /// Guards against a caller that reads nothing and keeps its call open forever.
 #[tokio::test]
 async fn stalled_reader_is_disconnected() {
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -53,8 +53,7 @@
 
 /// Returns the refusal of a request whose declared body is over the limit.
 fn check_body_size(config: &Configuration, head: &Parts) -> Option<Failure> {
-    let length = head.headers.get(header::CONTENT_LENGTH);
-    let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let length = call::content_length(&head.headers);
     length.filter(|length| *length > config.max_body_bytes)?;
     let reason = "request body is over the limit";
     Some(Failure::caller(StatusCode::PAYLOAD_TOO_LARGE, reason))
