Announce the end of peer connections before a node stops

A call that a peer was just sending had an unknown outcome, so a safe one with one attempt and each unsafe one ended as 502, though it could have been sent to another target. A stopping node now tells its peers to open no further streams, accepts those in transit and ends each connection with its last stream, within 250 ms. wire::Listener, with an explicit close, replaces the function listen. Test: streams_that_a_closing_peer_did_not_accept_are_known, failed when the connection ended at once.

--- a/crates/directory/tests/parents.rs
+++ b/crates/directory/tests/parents.rs
@@ -39,10 +39,10 @@
 }
 
 /// Starts a node that sends a compressed value to each follower and says that it is current.
-async fn start_faulty_parent(value: Vec<u8>) -> SocketAddr {
+async fn start_faulty_parent(value: Vec<u8>) -> (SocketAddr, wire::Listener) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(wire::listen(listener, 100, move |_, stream| {
+    let listening = wire::Listener::start(listener, 100, move |_, stream| {
         let value = value.clone();
         async move {
             let Stream {
@@ -71,8 +71,8 @@
             }
             sender.wait_reset().await;
         }
-    }));
-    address
+    });
+    (address, listening)
 }
 
 fn decode(bytes: &[u8]) -> Result<(Version, u64), String> {
@@ -89,7 +89,7 @@
     let truncated = zeros[..100].to_vec();
     for value in [b"not compressed".to_vec(), Vec::new(), truncated, zeros] {
         let case = value.len();
-        let address = start_faulty_parent(value).await;
+        let (address, _listening) = start_faulty_parent(value).await;
         let end = Instant::now() + CATCH_UP_TIMEOUT;
         let store = Memory::default();
         store.set("config", b"1");
--- a/crates/directory/tests/relay.rs
+++ b/crates/directory/tests/relay.rs
@@ -12,7 +12,6 @@
 use standin::Memory;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 use types::{Incarnation, Timestamp, Version, size};
 
@@ -46,7 +45,7 @@
     config: ConfigWatcher<u64>,
     directory: Directory,
     cut: watch::Sender<bool>,
-    _listening: JoinSet<()>,
+    _listening: wire::Listener,
 }
 
 /// Versions from which the configuration is a large one without anything in common with the one
@@ -118,12 +117,11 @@
             address: Some(address),
         },
     }));
-    let mut listening = JoinSet::new();
     let serving = relay.clone();
-    listening.spawn(wire::listen(listener, 100, move |_, stream| {
+    let listening = wire::Listener::start(listener, 100, move |_, stream| {
         let serving = serving.clone();
         async move { serving.serve(stream).await }
-    }));
+    });
     Node {
         name: name.to_owned(),
         relay,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -26,6 +26,10 @@
 /// drain limit has passed by then.
 const MIN_DELIVERY_TIME: Duration = Duration::from_secs(1);
 
+/// Longest time for other nodes to learn which of their calls were accepted. The way to another
+/// region and back takes about 60 ms.
+const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Listeners of the three ports.
 struct Listeners {
     callers: TcpListener,
@@ -65,6 +69,7 @@
 
 /// HTTP servers of a running node.
 struct Servers {
+    peers: wire::Listener,
     call_handler: CallHandler,
     caller_frontend: Frontend,
     _admin_frontend: Frontend,
@@ -76,7 +81,7 @@
         listeners: Listeners,
         node: &Arc<Node>,
     ) -> Result<Self, Error> {
-        tokio::spawn(peers::serve(listeners.peers, Arc::clone(node)));
+        let peers = peers::start(listeners.peers, Arc::clone(node));
         let relay = Arc::new(Relay::new(|| headers::format_refusal(Version::NONE)));
         let server = admin::build_server(Arc::clone(node));
         let admin_frontend =
@@ -99,6 +104,7 @@
         )
         .await?;
         Ok(Self {
+            peers,
             call_handler: handler,
             caller_frontend,
             _admin_frontend: admin_frontend,
@@ -127,6 +133,10 @@
         log::warn!("callers did not read their answers before the deadline");
     }
     node.spread.clone().close().await;
+    servers
+        .peers
+        .close(Deadline::after(PEER_CLOSE_TIMEOUT))
+        .await;
     log::info!("stopped");
     log::logger().flush();
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use tokio::net::TcpListener;
-use wire::{Kind, Stream};
+use wire::{Kind, Listener, Stream};
 
 use crate::Node;
 
@@ -9,10 +9,10 @@
 /// callers whose subset contains this node.
 const MAX_CONNECTIONS: usize = 4096;
 
-/// Accepts connections of other nodes until the task is dropped.
-pub async fn serve(listener: TcpListener, node: Arc<Node>) {
+/// Accepts connections of other nodes.
+pub fn start(socket: TcpListener, node: Arc<Node>) -> Listener {
     let handle = move |kind, stream| dispatch(Arc::clone(&node), kind, stream);
-    wire::listen(listener, MAX_CONNECTIONS, handle).await;
+    Listener::start(socket, MAX_CONNECTIONS, handle)
 }
 
 async fn dispatch(node: Arc<Node>, kind: Kind, stream: Stream) {
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{MissedTickBehavior, interval};
-use wire::{Kind, Stream};
+use wire::{Kind, Listener, Stream};
 
 use crate::{Adapter, Error, Node, announcements, callers, stop};
 
@@ -59,7 +59,7 @@
     );
     let restoring_node = Arc::clone(&node);
     tokio::spawn(async move { restoring_node.restore().await });
-    tokio::spawn(serve_peers(ports.peers, Arc::clone(&node)));
+    let peers = accept_peers(ports.peers, Arc::clone(&node));
     let limits_node = Arc::clone(&node);
     let server = Arc::new(Server::new(move || caller_limits(&limits_node)));
     let handler_node = Arc::clone(&node);
@@ -83,7 +83,7 @@
         .grace_s
         .parse()
         .unwrap_or_default();
-    stop::shut_down(node, &server, Duration::from_secs_f64(grace)).await;
+    stop::shut_down(node, &server, peers, Duration::from_secs_f64(grace)).await;
     Ok(())
 }
 
@@ -161,10 +161,10 @@
     response
 }
 
-/// Accepts connections from other nodes until the future is dropped.
-async fn serve_peers(listener: TcpListener, node: Arc<Node>) {
+/// Accepts connections from other nodes.
+fn accept_peers(socket: TcpListener, node: Arc<Node>) -> Listener {
     let handler = move |kind, stream| dispatch_stream(Arc::clone(&node), kind, stream);
-    wire::listen(listener, MAX_PEER_CONNECTIONS, handler).await;
+    Listener::start(socket, MAX_PEER_CONNECTIONS, handler)
 }
 
 async fn dispatch_stream(node: Arc<Node>, kind: Kind, stream: Stream) {
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -6,6 +6,7 @@
 use front::Server;
 use tokio::time::{Instant, sleep_until, timeout_at};
 use types::Deadline;
+use wire::Listener;
 
 use crate::Node;
 
@@ -16,6 +17,10 @@
 /// Time for connections to send the last bytes of completed responses.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
+/// Longest time for other nodes to learn which of their calls were accepted. The way to another
+/// region and back takes about 60 ms.
+const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Part of the grace period that is reserved for the exit of the process, which may get little
 /// processor time.
 const EXIT_MARGIN: Duration = Duration::from_millis(800);
@@ -23,7 +28,7 @@
 /// Shuts a node down within `grace`, the time until the process is killed.
 ///
 /// Requests that arrive before the node is closed are served; later ones are refused.
-pub(crate) async fn shut_down(node: Arc<Node>, callers: &Server, grace: Duration) {
+pub(crate) async fn shut_down(node: Arc<Node>, callers: &Server, peers: Listener, grace: Duration) {
     let start = Instant::now();
     let end = Deadline::new(start + grace.saturating_sub(EXIT_MARGIN));
     log::info!(exchanges = callers.exchanges(), grace:?; "stopping");
@@ -35,7 +40,9 @@
     let finish_exchanges = timeout_at(end.instant(), callers.wait_idle());
     let (running, finished) = tokio::join!(drain_target, finish_exchanges);
     let delivered = finished.is_ok();
-    sleep_until(end.instant().min(Instant::now() + FLUSH_DELAY)).await;
+    let flush_responses = sleep_until(end.instant().min(Instant::now() + FLUSH_DELAY));
+    let close_peers = peers.close(end.min(Deadline::after(PEER_CLOSE_TIMEOUT)));
+    tokio::join!(flush_responses, close_peers);
     if running > 0 || !delivered {
         let exchanges = callers.exchanges();
         log::warn!(exchanges, target = running; "grace period ended with calls in flight");
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,6 @@
 //! Connections between nodes, made of HTTP/2 streams of length-prefixed frames.
 //!
-//! [`Connection`] connects to a peer and opens streams. [`listen()`] accepts connections, and
+//! [`Connection`] connects to a peer and opens streams. [`Listener`] accepts connections, and
 //! [`serve`] runs the accepting side of one. Both sides get a [`Stream`], which sends and receives
 //! messages of the `schema` crate and plain data. A stream ends cleanly only when its sender calls
 //! [`Sender::finish`]; every other end is an [`Error`].
@@ -27,7 +27,7 @@
 mod error;
 mod frame;
 mod kind;
-mod listen;
+mod listener;
 mod liveness;
 mod receiver;
 mod sender;
@@ -38,11 +38,11 @@
 pub use error::Error;
 pub use frame::{Frame, Received};
 pub use kind::Kind;
-pub use listen::listen;
+pub use listener::Listener;
 pub use liveness::{PING_INTERVAL, PING_TIMEOUT};
 pub use receiver::Receiver;
 pub use sender::Sender;
-pub use server::serve;
+pub use server::{serve, serve_until};
 
 /// Version of the protocol between nodes.
 ///
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -8,6 +8,7 @@
 use http::{Request, Response, StatusCode};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 use crate::liveness::Liveness;
 use crate::socket::Socket;
@@ -32,6 +33,25 @@
 /// handshake takes too long, [`Error::Stream`] when the peer does not speak HTTP/2 or the
 /// connection fails, and [`Error::Closed`] when the peer no longer answers pings.
 pub async fn serve<H, F>(socket: TcpStream, handle: H) -> Result<(), Error>
+where
+    H: Fn(Kind, Stream) -> F,
+    F: Future<Output = ()> + Send + 'static,
+{
+    serve_until(socket, CancellationToken::new(), handle).await
+}
+
+/// Like [`serve`], until `shutdown` is cancelled. Then the peer is told to open no further streams,
+/// those that are already in transit are still accepted, and the connection ends with the last of
+/// them.
+///
+/// # Errors
+///
+/// Returns the errors of [`serve`].
+pub async fn serve_until<H, F>(
+    socket: TcpStream,
+    shutdown: CancellationToken,
+    handle: H,
+) -> Result<(), Error>
 where
     H: Fn(Kind, Stream) -> F,
     F: Future<Output = ()> + Send + 'static,
@@ -49,6 +69,7 @@
         .await
         .map_err(|_| Error::ConnectDeadline)??;
     let mut unresponsive = Box::pin(liveness.run_pings(connection.ping_pong()));
+    let mut is_closing = false;
     loop {
         tokio::select! {
             accepted = connection.accept() => match accepted {
@@ -61,6 +82,10 @@
                 None => return Ok(()),
             },
             () = &mut unresponsive => return Err(Error::Closed),
+            () = shutdown.cancelled(), if !is_closing => {
+                connection.graceful_shutdown();
+                is_closing = true;
+            }
         }
     }
 }
--- a/crates/wire/tests/contract.rs
+++ b/crates/wire/tests/contract.rs
@@ -13,7 +13,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 use types::Deadline;
-use wire::{Connection, Error, Frame, Kind, PING_INTERVAL, PING_TIMEOUT, Received, Stream};
+use wire::{
+    Connection, Error, Frame, Kind, Listener, PING_INTERVAL, PING_TIMEOUT, Received, Stream,
+};
 
 fn message(value: &[u8]) -> Message {
     Message {
@@ -367,3 +369,47 @@
         }
     }
 }
+
+/// Guards against a node that stops and leaves its peers in doubt whether it accepted a call that
+/// they were just sending: the call fails, though it could have been sent to another node.
+#[tokio::test]
+async fn streams_that_a_closing_peer_did_not_accept_are_known() {
+    for round in 0..20 {
+        let (socket, address) = bind().await;
+        let listener = Listener::start(socket, 10, echo);
+        let connection = connect(address).await;
+        let mut calls = Vec::new();
+        for _ in 0..16 {
+            let connection = connection.clone();
+            calls.push(tokio::spawn(async move {
+                // Ends with the first stream that the peer does not accept.
+                loop {
+                    let Ok(mut stream) = connection.open(Kind::Call).await else {
+                        // Nothing was sent.
+                        return Ok(());
+                    };
+                    let answered = async {
+                        stream.sender.send(&message(b"call")).await?;
+                        stream.receiver.recv::<Message>().await
+                    };
+                    match answered.await {
+                        Ok(Some(received)) => assert_eq!(into_value(received), b"call"),
+                        Ok(None) => return Err("ended without an answer".to_owned()),
+                        Err(error) if error.is_unprocessed() => return Ok(()),
+                        Err(error) => return Err(error.to_string()),
+                    }
+                }
+            }));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        timeout(
+            Duration::from_secs(5),
+            listener.close(Deadline::after_ms(5000)),
+        )
+        .await
+        .unwrap();
+        for call in calls {
+            assert_eq!(call.await.unwrap(), Ok(()), "round {round}");
+        }
+    }
+}
