--- a/crates/bench/src/calls.rs
+++ b/crates/bench/src/calls.rs
@@ -16,7 +16,7 @@
 const START_LIMIT: Duration = Duration::from_mins(1);
 
 /// Time for announcements to spread before the first call.
-const SETTLE: Duration = Duration::from_secs(5);
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(5);
 
 /// Calls of a measurement.
 #[derive(Clone, Copy, Debug)]
@@ -85,7 +85,7 @@
         .iter()
         .map(|number| Upstream::start(&mesh, *number, load))
         .collect::<Result<Vec<_>, _>>()?;
-    sleep(SETTLE).await;
+    sleep(ANNOUNCEMENT_DELAY).await;
     let usage_before = mesh.usage()?;
     let through: Vec<_> = mesh
         .nodes
--- a/crates/bench/src/mesh.rs
+++ b/crates/bench/src/mesh.rs
@@ -17,7 +17,7 @@
 
 /// Time after the start in which links settle before anything is counted. Records of the start are
 /// compared and repaired for some seconds after the last node is ready.
-pub(crate) const SETTLE: Duration = Duration::from_secs(15);
+pub(crate) const SETTLE_DELAY: Duration = Duration::from_secs(15);
 
 /// Nodes that are asked at the same time.
 const PARALLEL: usize = 16;
--- a/crates/bench/src/restart.rs
+++ b/crates/bench/src/restart.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, sleep};
 use types::Deadline;
 
-use crate::mesh::{SETTLE, START_LIMIT};
+use crate::mesh::{SETTLE_DELAY, START_LIMIT};
 use crate::{Error, Mesh, Plan, Usage};
 
 /// Result of one restart.
@@ -39,7 +39,7 @@
     let mut mesh = Mesh::start(plan).await?;
     let all: Vec<_> = (0..plan.nodes).collect();
     mesh.wait_ready(&all, Deadline::after(START_LIMIT)).await?;
-    sleep(SETTLE).await;
+    sleep(SETTLE_DELAY).await;
     let (lost, others): (Vec<_>, Vec<_>) = all
         .into_iter()
         .partition(|number| plan.domain(*number) == plan.domains - 1);
--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use types::Deadline;
 
-use crate::mesh::{SETTLE, START_LIMIT};
+use crate::mesh::{SETTLE_DELAY, START_LIMIT};
 use crate::{Error, Mesh, Plan, Sample, Scrape, Usage};
 
 /// Longest wait for one version; over twice the 14 s that the design promises.
@@ -155,7 +155,7 @@
     let numbers: Vec<_> = (0..plan.nodes).collect();
     mesh.wait_ready(&numbers, Deadline::after(START_LIMIT))
         .await?;
-    sleep(SETTLE).await;
+    sleep(SETTLE_DELAY).await;
     let start = Point::read(&mesh).await?;
     sleep(load.quiet).await;
     let quiet = Point::read(&mesh).await?;
--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -17,7 +17,7 @@
 const STEP_LIMIT: Duration = Duration::from_mins(1);
 
 /// Time for freed memory to be returned before it is read.
-const SETTLE: Duration = Duration::from_secs(3);
+const MEMORY_RETURN_DELAY: Duration = Duration::from_secs(3);
 
 /// Memory of one node before and after it was filled.
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -69,7 +69,7 @@
     }
     wait_members(&mesh, records, &mut stream).await?;
     let filled = mesh.usage_of(0)?;
-    beat(&mut stream, SETTLE).await?;
+    beat(&mut stream, MEMORY_RETURN_DELAY).await?;
     let before = mesh.usage_of(0)?;
     beat(&mut stream, Duration::from_secs(10)).await?;
     let full = mesh.usage_of(0)?;
@@ -107,7 +107,7 @@
 async fn start_one(plan: Plan) -> Result<Mesh, Error> {
     let mesh = Mesh::start(Plan { nodes: 1, ..plan }).await?;
     mesh.wait_ready(&[0], Deadline::after(STEP_LIMIT)).await?;
-    sleep(SETTLE).await;
+    sleep(MEMORY_RETURN_DELAY).await;
     Ok(mesh)
 }
 
--- a/crates/cli/src/archive.rs
+++ b/crates/cli/src/archive.rs
@@ -11,8 +11,8 @@
 /// Keys read in one transaction. The store allows 128 operations in one.
 const BATCH: usize = 100;
 
-/// Tries to read a manifest whose version moved on between two reads.
-const MOVES: usize = 5;
+/// Attempts to read a manifest whose version moved on between two reads.
+const MAX_READ_ATTEMPTS: usize = 5;
 
 /// Reads published versions from the store. Pieces never change, so those that were read are kept.
 pub struct Archive {
@@ -22,7 +22,7 @@
 
 /// Newest version with the revision that a publisher compares.
 #[derive(Clone, Debug)]
-pub struct Newest {
+pub struct NewestVersion {
     /// Manifest of the version; empty when nothing has been published.
     pub manifest: Manifest,
     /// Revision of the head; [`Revision::NONE`] when it does not exist.
@@ -51,20 +51,20 @@
     ///
     /// Returns [`Failure::Unreachable`] when the store did not answer by the deadline, and
     /// [`Failure::Damaged`] when its content is not as expected.
-    pub async fn newest(&self, deadline: Deadline) -> Result<Newest, Failure> {
-        for _ in 0..MOVES {
+    pub async fn newest(&self, deadline: Deadline) -> Result<NewestVersion, Failure> {
+        for _ in 0..MAX_READ_ATTEMPTS {
             let head = self.get(keys::HEAD, deadline).await?;
             let Some(value) = head else {
                 let manifest = Manifest::empty();
                 let revision = Revision::NONE;
-                return Ok(Newest { manifest, revision });
+                return Ok(NewestVersion { manifest, revision });
             };
             let head: message::Head = decode(keys::HEAD, &value.bytes)?;
             let manifest = self.manifest(Version::new(head.version), deadline).await?;
             // The manifest is gone when 200 versions were published since the head was read.
             if let Some(manifest) = manifest {
                 let revision = value.mod_revision;
-                return Ok(Newest { manifest, revision });
+                return Ok(NewestVersion { manifest, revision });
             }
         }
         Err(Failure::Damaged(
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -40,7 +40,7 @@
 mod swap;
 pub mod wait;
 
-pub use archive::{Archive, Newest};
+pub use archive::{Archive, NewestVersion};
 pub use difference::{Difference, FieldChange};
 pub use failure::Failure;
 pub use order::{Effect, Order, Published};
--- a/crates/cli/src/publisher.rs
+++ b/crates/cli/src/publisher.rs
@@ -8,16 +8,16 @@
 use types::{Deadline, Finding, Findings, Timestamp, id};
 
 use crate::swap::{Swap, swap};
-use crate::{Archive, Effect, Failure, Newest, Order, Published, retry};
+use crate::{Archive, Effect, Failure, NewestVersion, Order, Published, retry};
 
 /// Versions whose manifests are kept.
-pub(crate) const KEPT: u64 = 200;
+pub(crate) const RETAINED_VERSIONS: u64 = 200;
 
 /// Largest value of the store, in bytes.
 const VALUE_LIMIT: usize = 1_000_000;
 
-/// Tries of a run against other publishers.
-const RACES: u32 = 50;
+/// Attempts of one publication that competes with other publishers.
+const MAX_PUBLISH_ATTEMPTS: u32 = 50;
 
 /// Bytes and operations of one transaction of pieces. The store takes requests of 1.5 MB, whose JSON
 /// form is a third longer than the bytes, with 128 operations.
@@ -79,7 +79,7 @@
         let mut newest = self.archive.newest(deadline).await?;
         let base = self.base(order, &newest, deadline).await?;
         let mut written = BTreeSet::new();
-        for race in 0..RACES {
+        for race in 0..MAX_PUBLISH_ATTEMPTS {
             change.published = Timestamp::now();
             let next = self.merge(&base, &newest, &change, deadline).await?;
             self.validate(order, &next, deadline).await?;
@@ -110,14 +110,14 @@
                 return Err(Failure::Races(race + 1));
             }
         }
-        Err(Failure::Races(RACES))
+        Err(Failure::Races(MAX_PUBLISH_ATTEMPTS))
     }
 
     /// Manifest of the version that the operator worked from.
     async fn base(
         &self,
         order: &Order,
-        newest: &Newest,
+        newest: &NewestVersion,
         deadline: Deadline,
     ) -> Result<Manifest, Failure> {
         let Some(version) = order.base else {
@@ -134,7 +134,7 @@
     async fn merge(
         &self,
         base: &Manifest,
-        newest: &Newest,
+        newest: &NewestVersion,
         change: &Change,
         deadline: Deadline,
     ) -> Result<Manifest, Failure> {
--- a/crates/cli/src/swap.rs
+++ b/crates/cli/src/swap.rs
@@ -5,8 +5,8 @@
 use store::{Compare, Operation, Reply, Revision, Txn, TxnReply, keys};
 use types::{Deadline, Version};
 
-use crate::publisher::{KEPT, encode};
-use crate::{Archive, Failure, Newest, retry};
+use crate::publisher::{RETAINED_VERSIONS, encode};
+use crate::{Archive, Failure, NewestVersion, retry};
 
 /// Pieces that are deleted in the transaction. The store allows 128 operations in one; larger rests
 /// are deleted before.
@@ -29,7 +29,7 @@
 /// head's revision.
 pub(crate) async fn swap(
     archive: &Archive,
-    newest: &Newest,
+    newest: &NewestVersion,
     next: &Manifest,
     deadline: Deadline,
 ) -> Result<Swap, Failure> {
@@ -111,7 +111,7 @@
     next: &Manifest,
     deadline: Deadline,
 ) -> Result<Option<Manifest>, Failure> {
-    match next.version.get().checked_sub(KEPT) {
+    match next.version.get().checked_sub(RETAINED_VERSIONS) {
         None | Some(0) => Ok(None),
         Some(version) => archive.manifest(Version::new(version), deadline).await,
     }
@@ -119,7 +119,7 @@
 
 async fn transaction(
     archive: &Archive,
-    newest: &Newest,
+    newest: &NewestVersion,
     next: &Manifest,
     publication_key: &str,
     expired: Option<Manifest>,
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 /// Bound of the waits for a state that follows an event; far above what a busy machine needs.
-const PATIENCE: Duration = Duration::from_secs(10);
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Starts an upstream with settings given as JSON without its braces.
 async fn start(settings: &str) -> Upstream {
@@ -54,7 +54,7 @@
             sleep(Duration::from_millis(5)).await;
         }
     };
-    timeout(PATIENCE, wait).await.unwrap()
+    timeout(EVENT_TIMEOUT, wait).await.unwrap()
 }
 
 /// Bytes of an answer that arrive, and whether it ends properly.
@@ -140,11 +140,11 @@
     wait_for(&upstream, "waiting", Progress::Waiting).await;
     let third = Client::new();
     let shed = async || {
-        let answer = timeout(PATIENCE, third.get(upstream.url()).send()).await;
+        let answer = timeout(EVENT_TIMEOUT, third.get(upstream.url()).send()).await;
         answer.unwrap().unwrap().status()
     };
     assert_eq!(shed().await, 503);
-    let fourth = timeout(PATIENCE, call(&upstream, "fourth").send()).await;
+    let fourth = timeout(EVENT_TIMEOUT, call(&upstream, "fourth").send()).await;
     assert!(fourth.unwrap().is_err());
     assert_eq!(shed().await, 503);
 }
@@ -164,7 +164,7 @@
     wait_for(&node, "", Progress::Complete).await;
     let running = hold(&upstream, "running");
     wait_for(&upstream, "running", Progress::Running).await;
-    let (left, refused) = tokio::join!(upstream.drain(PATIENCE), async {
+    let (left, refused) = tokio::join!(upstream.drain(EVENT_TIMEOUT), async {
         sleep(Duration::from_millis(20)).await;
         send(&upstream, "new").await.status()
     });
@@ -183,7 +183,7 @@
 #[tokio::test]
 async fn health_lags_or_lies_when_asked() {
     let upstream = start("").await;
-    upstream.drain(PATIENCE).await;
+    upstream.drain(EVENT_TIMEOUT).await;
     for (behaviour, status) in [
         ("", 503),
         (r#""health": "LAGGING", "health_lag_ms": 600000"#, 200),
@@ -226,7 +226,11 @@
         set(&upstream, &times).await;
         let sent: Vec<_> = (0..40).map(|_| hold(&upstream, "w")).collect();
         for call in sent {
-            timeout(PATIENCE, call).await.unwrap().unwrap().unwrap();
+            timeout(EVENT_TIMEOUT, call)
+                .await
+                .unwrap()
+                .unwrap()
+                .unwrap();
         }
         let entries = upstream.log().entries.into_iter();
         let longest = entries.map(|e| e.end_ms - e.start_ms).max().unwrap();
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -17,7 +17,7 @@
 const LIMIT_MS: u64 = 2000;
 
 /// Time after which a call has outlived its deadline, even on a busy machine.
-const PATIENCE: Duration = Duration::from_secs(20);
+const OVERDUE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Store with `k` changed twice and the key `leased` on a lease.
 struct Fixture {
@@ -170,7 +170,7 @@
     }
     let spent = fixture.arrived(kind) - before;
     let run = fixture.run(kind, Deadline::after_ms(LIMIT_MS));
-    let result = timeout(PATIENCE, run).await;
+    let result = timeout(OVERDUE_TIMEOUT, run).await;
     let result = result.unwrap_or_else(|_| panic!("{name}: outlives its deadline"));
     let (expected, writes) = match kind {
         Kind::Range => (read, false),
