--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -9,9 +9,10 @@
 use types::{Deadline, id, size};
 
 use crate::entry::{Entry, UpstreamStart};
+use crate::own_entry::{OwnUpdate, PreviousEntry, StoredEntry, Written};
 use crate::plan::Plan;
 use crate::publish;
-use crate::{Backend, Change, Item, LeaseId, Relay, Replica, Revision, Update, WatchOptions};
+use crate::{Backend, Change, Item, Relay, Replica, Revision, Update, WatchOptions};
 
 /// Directory of the nodes in the store, and publisher of the own entry. Clones share one state.
 #[derive(Clone)]
@@ -48,57 +49,6 @@
     updated: Notify,
 }
 
-/// State of the own entry in the store.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Written {
-    /// Sequence number of the record.
-    pub(crate) sequence: u32,
-    /// Revision of the key.
-    pub(crate) revision: Revision,
-}
-
-/// Entry that an earlier process of this node has left in the store.
-enum PreviousEntry {
-    /// The store has not been read yet.
-    Unknown,
-    Absent,
-    Found(Box<StoredEntry>),
-}
-
-/// Entry of this node as the store holds it.
-#[derive(Clone)]
-pub(crate) struct StoredEntry {
-    pub(crate) entry: Entry,
-    pub(crate) revision: Revision,
-    pub(crate) lease: Option<LeaseId>,
-}
-
-/// What an update says about the own entry.
-enum OwnUpdate {
-    None,
-    /// The entry does not exist, or cannot be used.
-    Missing,
-    Found(Box<StoredEntry>),
-}
-
-impl OwnUpdate {
-    fn new(entry: Option<Entry>, item: &Item) -> Self {
-        entry.map_or(Self::Missing, |entry| {
-            Self::Found(Box::new(StoredEntry {
-                entry,
-                revision: item.revision,
-                lease: item.lease,
-            }))
-        })
-    }
-}
-
-impl PreviousEntry {
-    const fn is_known(&self) -> bool {
-        !matches!(self, Self::Unknown)
-    }
-}
-
 struct Tasks {
     plan: JoinHandle<()>,
     publish: JoinHandle<()>,
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -44,6 +44,7 @@
 mod health;
 mod message;
 mod mirror;
+mod own_entry;
 mod parent;
 mod plan;
 mod publish;
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -7,7 +7,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use crate::handle::{Shared, Written};
+use crate::handle::Shared;
+use crate::own_entry::Written;
 use crate::source::Backoff;
 use crate::{CallKind, Error, Item, Lease, LeaseId, Revision};
 
