--- a/crates/directory/src/source.rs
+++ b/crates/directory/src/source.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::relay::{Shared, State};
@@ -98,15 +99,7 @@
 /// Lists the keys of a table once, then watches them whenever this node has no parent that is
 /// current. Runs until the future is dropped.
 pub(crate) async fn run(shared: Arc<Shared>, table: Arc<Table>) {
-    let mut source = Source {
-        shared: &shared,
-        table: &table,
-        backoff: Backoff::new(),
-        is_available: true,
-        is_settled: true,
-        reached: None,
-        is_first_watch: true,
-    };
+    let mut source = Source::new(&shared, &table);
     while source.reached.is_none() {
         source.call().await;
     }
@@ -114,18 +107,8 @@
     // Not before the first watch: until then this node does not notice changes.
     shared.set_source_current(&table, false);
     let mut state = shared.subscribe();
-    let delay = table.options.first_watch_delay;
     let mut fallback_at = Instant::now() + START_FALLBACK_DELAY;
-    let is_needed = timeout(delay, state.wait_for(State::has_followers))
-        .await
-        .is_ok();
-    if !is_needed && table.options.relist_after_start && state.borrow().reads_store() {
-        let before = state.borrow().plan.clone();
-        source.relist().await;
-        // The listing may show that this node is to follow others. A timeout means that it does not.
-        let is_changed = |state: &State| state.plan != before;
-        let _ = timeout(PLAN_DELAY, state.wait_for(is_changed)).await;
-    }
+    source.wait_after_start(&mut state).await;
     loop {
         // The sender lives in `shared`, so the waits cannot fail.
         let _ = state.wait_for(State::reads_store).await;
@@ -158,7 +141,37 @@
     is_first_watch: bool,
 }
 
-impl Source<'_> {
+impl<'a> Source<'a> {
+    const fn new(shared: &'a Shared, table: &'a Table) -> Self {
+        Self {
+            shared,
+            table,
+            backoff: Backoff::new(),
+            is_available: true,
+            is_settled: true,
+            reached: None,
+            is_first_watch: true,
+        }
+    }
+
+    /// Waits between the first listing and the next call, so that this node learns whom to follow.
+    async fn wait_after_start(&mut self, state: &mut watch::Receiver<State>) {
+        let options = self.table.options;
+        let is_needed = timeout(
+            options.first_watch_delay,
+            state.wait_for(State::has_followers),
+        );
+        if is_needed.await.is_ok() || !options.relist_after_start || !state.borrow().reads_store() {
+            return;
+        }
+        let before = state.borrow().plan.clone();
+        self.relist().await;
+        // The listing may show that this node is to follow others. A timeout means that it does not.
+        let is_changed = |state: &State| state.plan != before;
+        let _ = timeout(PLAN_DELAY, state.wait_for(is_changed)).await;
+    }
+
+    /// Watches the prefix until the future is dropped.
     async fn follow(&mut self) {
         self.backoff.reset();
         // Parents may have delivered later changes than the last call.
