--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -26,10 +26,6 @@
 /// drain limit has passed by then.
 const MIN_DELIVERY_TIME: Duration = Duration::from_secs(1);
 
-/// Longest time for other nodes to learn which of their calls were accepted. The way to another
-/// region and back takes about 60 ms.
-const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Listeners of the three ports.
 struct Listeners {
     callers: TcpListener,
@@ -133,10 +129,7 @@
         log::warn!("callers did not read their answers before the deadline");
     }
     node.spread.clone().close().await;
-    servers
-        .peers
-        .close(Deadline::after(PEER_CLOSE_TIMEOUT))
-        .await;
+    servers.peers.close(delivery).await;
     log::info!("stopped");
     log::logger().flush();
 }
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -17,10 +17,6 @@
 /// Time for connections to send the last bytes of completed responses.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
-/// Longest time for other nodes to learn which of their calls were accepted. The way to another
-/// region and back takes about 60 ms.
-const PEER_CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Part of the grace period that is reserved for the exit of the process, which may get little
 /// processor time.
 const EXIT_MARGIN: Duration = Duration::from_millis(800);
@@ -41,8 +37,7 @@
     let (running, finished) = tokio::join!(drain_target, finish_exchanges);
     let delivered = finished.is_ok();
     let flush_responses = sleep_until(end.instant().min(Instant::now() + FLUSH_DELAY));
-    let close_peers = peers.close(end.min(Deadline::after(PEER_CLOSE_TIMEOUT)));
-    tokio::join!(flush_responses, close_peers);
+    tokio::join!(flush_responses, peers.close(end));
     if running > 0 || !delivered {
         let exchanges = callers.exchanges();
         log::warn!(exchanges, target = running; "grace period ended with calls in flight");
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -15,6 +15,10 @@
 /// Delay after a failed accept, which happens when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Longest time for the peers to end their connections. The way to another region and back takes
+/// about 60 ms.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Accepts connections from other nodes, each served in its own task.
 ///
 /// Dropping it ends the accepting only; open connections continue.
@@ -41,10 +45,11 @@
         }
     }
 
-    /// Stops accepting and ends the open connections as [`serve_until`] says. Waits for their ends
-    /// until the deadline.
+    /// Stops accepting and ends the open connections as [`serve_until`] says. Waits a quarter of a
+    /// second for their ends, at most until `deadline`.
     pub async fn close(mut self, deadline: Deadline) {
         self.shutdown.cancel();
+        let deadline = deadline.min(Deadline::after(CLOSE_TIMEOUT));
         if timeout_at(deadline.instant(), &mut self.accepting)
             .await
             .is_err()
