Break off request bodies without a length at the configured limit; tests of endless bytes from clients and peers

Cause: the limit of request bodies was compared with the declared length only. A chunked body without end was passed on until the deadline (408 after 2 s in the test); it fails at the limit now, with 400 when nothing was sent. Tests: endless_request_bodies_are_refused_at_the_limit failed before. Shown not to happen, by new tests: endless request heads, fast and slow, and endless bytes between nodes, from either side, among them CONTINUATION frames.

--- a/crates/front/tests/connections.rs
+++ b/crates/front/tests/connections.rs
@@ -152,3 +152,35 @@
     }
     assert_eq!(server.connections(), 0);
 }
+
+/// Guards against a request head without end that keeps its connection or is collected in memory,
+/// sent fast or slowly.
+#[tokio::test]
+async fn endless_request_heads_end_the_connection() {
+    let heads: [(&[u8], &[u8]); 4] = [
+        (b"", b"G"),
+        (b"GET /", b"a"),
+        (b"GET / HTTP/1.1\r\n", b"x: y\r\n"),
+        (b"GET / HTTP/1.1\r\nx: ", b"y"),
+    ];
+    for (first, unit) in heads {
+        for (count, pause) in [(1000, Duration::ZERO), (1, Duration::from_millis(20))] {
+            let (server, address) = start_server(Duration::from_millis(300), |_| respond_hello());
+            let mut socket = TcpStream::connect(address).await.unwrap();
+            socket.write_all(first).await.unwrap();
+            let part = unit.repeat(count);
+            let sending = async {
+                while socket.write_all(&part).await.is_ok() {
+                    sleep(pause).await;
+                }
+            };
+            assert!(
+                timeout(TIMEOUT, sending).await.is_ok(),
+                "{first:?} {unit:?} {pause:?}"
+            );
+            while server.connections() > 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -14,11 +14,14 @@
 use tokio::time::Instant;
 use types::{Deadline, Outcome, id};
 
-use crate::{Configuration, Node};
+use crate::Node;
 
 /// Delay after which a caller should retry a request that was not run.
 const RETRY_AFTER: Duration = Duration::from_millis(80);
 
+/// Reason for refusing a request or breaking off its body.
+const BODY_OVER_LIMIT: &str = "request body is over the limit";
+
 /// Longest accepted timeout of a caller. A longer one would overflow the clock.
 const MAX_TIMEOUT: Duration = Duration::from_hours(24);
 
@@ -31,13 +34,14 @@
     let (head, body) = request.into_parts();
     let metadata = (node.adapter.read_request)(&head);
     let id = metadata.id.unwrap_or_else(call::new_request_id);
+    let max_body_bytes = node
+        .config_watcher
+        .current()
+        .map_or(u64::MAX, |config| config.max_body_bytes);
     let refusal = if node.is_closed() {
         Some(Failure::mesh("stopping"))
     } else {
-        let config = node.config_watcher.current();
-        config
-            .as_deref()
-            .and_then(|config| check_body_size(config, &head))
+        check_body_size(max_body_bytes, &head)
     };
     if let Some(failure) = refusal {
         log::info!(request:% = id, reason = failure.reason.as_str(); "request refused");
@@ -45,6 +49,7 @@
             .record_outcome("not-run", &failure.fault, failure.status);
         return Ok(build_refusal(&node, &failure));
     }
+    let body = stream_request_body(body, max_body_bytes);
     let call = build_call(&node, id, metadata.timeout, head, body);
     let answer = node.caller.call(call).await;
     node.metrics.record_answer(&answer, start.elapsed());
@@ -52,11 +57,13 @@
 }
 
 /// Returns the refusal of a request whose declared body is over the limit.
-fn check_body_size(config: &Configuration, head: &Parts) -> Option<Failure> {
+fn check_body_size(max_bytes: u64, head: &Parts) -> Option<Failure> {
     let length = call::content_length(&head.headers);
-    length.filter(|length| *length > config.max_body_bytes)?;
-    let reason = "request body is over the limit";
-    Some(Failure::caller(StatusCode::PAYLOAD_TOO_LARGE, reason))
+    length.filter(|length| *length > max_bytes)?;
+    Some(Failure::caller(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        BODY_OVER_LIMIT,
+    ))
 }
 
 fn build_call(
@@ -64,7 +71,7 @@
     id: id::Request,
     timeout: Option<Duration>,
     head: Parts,
-    body: Incoming,
+    body: RequestBody,
 ) -> call::Request {
     let target = head
         .uri
@@ -83,7 +90,7 @@
     if let Some(timeout) = timeout {
         call.deadline = Some(Deadline::after(timeout.min(MAX_TIMEOUT)));
     }
-    call.body = stream_request_body(body);
+    call.body = body;
     call
 }
 
@@ -94,11 +101,19 @@
     }
 }
 
-/// Converts a request body to a stream. Trailers are dropped, since they apply to the caller's
-/// connection only.
-fn stream_request_body(body: Incoming) -> RequestBody {
-    let chunks = body.into_data_stream();
-    chunks.map(|chunk| chunk.map_err(io::Error::other)).boxed()
+/// Converts a request body to a stream, which fails after `max_bytes`: a body without a declared
+/// length may have no end. Trailers are dropped, since they apply to the caller's connection only.
+fn stream_request_body(body: Incoming, max_bytes: u64) -> RequestBody {
+    let mut received = 0;
+    let chunks = body.into_data_stream().map(move |chunk| {
+        let chunk = chunk.map_err(io::Error::other)?;
+        received += chunk.len() as u64;
+        if received > max_bytes {
+            return Err(io::Error::other(BODY_OVER_LIMIT));
+        }
+        Ok(chunk)
+    });
+    chunks.boxed()
 }
 
 fn build_response(node: &Node, answer: Answer) -> Response<Body> {
--- a/crates/sidecar/tests/nodes.rs
+++ b/crates/sidecar/tests/nodes.rs
@@ -421,3 +421,40 @@
     assert_eq!(status(&response), "413", "{response}");
     assert!(response.contains("connection: close"), "{response}");
 }
+
+/// Guards against a request body without end and without a length, which was passed on to the target
+/// until the deadline.
+#[tokio::test]
+async fn endless_request_bodies_are_refused_at_the_limit() {
+    let store = Memory::default();
+    store.set("config", b"3");
+    let node = start_node(&store, "a").await;
+    let upstream = start_upstream();
+    wait_status(node.ready, "GET /", "200").await;
+    upstream.send_heartbeat(&node, "i-1", 1, "ready").await;
+    wait_status(node.callers, "GET /status/1", "200").await;
+    upstream.last_request.lock().unwrap().take();
+    let mut socket = TcpStream::connect(node.callers).await.unwrap();
+    let head =
+        "POST /status/1 HTTP/1.1\r\nhost: portal.example\r\ntransfer-encoding: chunked\r\n\r\n";
+    socket.write_all(head.as_bytes()).await.unwrap();
+    let sending = async {
+        let mut response = Vec::new();
+        loop {
+            tokio::select! {
+                read = socket.read_buf(&mut response) => {
+                    read.unwrap();
+                    return response;
+                }
+                () = tokio::time::sleep(Duration::from_millis(10)) => {}
+            }
+            // The node may have closed the connection.
+            let _ = socket.write_all(b"80\r\n").await;
+            let _ = socket.write_all(&[b'x'; 0x80]).await;
+            let _ = socket.write_all(b"\r\n").await;
+        }
+    };
+    let response = String::from_utf8(timeout(TIMEOUT, sending).await.unwrap()).unwrap();
+    assert_eq!(status(&response), "400", "{response}");
+    assert!(upstream.last_request.lock().unwrap().is_none());
+}
--- a/crates/wire/tests/contract.rs
+++ b/crates/wire/tests/contract.rs
@@ -413,3 +413,48 @@
         }
     }
 }
+
+/// Guards against bytes without end that are no HTTP/2 and keep a connection, from either side.
+#[tokio::test]
+async fn endless_bytes_that_are_no_protocol_end_the_connection() {
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    let empty_settings = [0, 0, 0, 4, 0, 0, 0, 0, 0];
+    // HEADERS of stream 1 without END_HEADERS, continued for ever.
+    let headers = [&preface[..], &empty_settings, &[0, 0, 0, 1, 0, 0, 0, 0, 1]].concat();
+    let continuation = [&[0, 0, 200, 9, 0, 0, 0, 0, 1][..], &[0x80; 200]].concat();
+    for (first, unit) in [
+        (&b""[..], &b"x"[..]),
+        (preface, b"x"),
+        (&headers, &continuation),
+    ] {
+        let (listener, address) = bind().await;
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                tokio::spawn(wire::serve(socket, echo));
+            }
+        });
+        let mut socket = TcpStream::connect(address).await.unwrap();
+        socket.write_all(first).await.unwrap();
+        send_endless(&mut socket, unit).await;
+        let (listener, address) = bind().await;
+        let unit = unit.to_vec();
+        let sending = tokio::spawn(async move {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            send_endless(&mut socket, &unit).await;
+        });
+        // The handshake succeeds before the peer has said anything.
+        if let Ok(connection) = Connection::connect(address, Deadline::after_ms(5000)).await {
+            timeout(Duration::from_secs(5), connection.wait_closed())
+                .await
+                .unwrap();
+        }
+        sending.await.unwrap();
+    }
+}
+
+/// Sends bytes until the peer closes the connection.
+async fn send_endless(socket: &mut TcpStream, unit: &[u8]) {
+    let part = unit.repeat(100);
+    let sending = async { while socket.write_all(&part).await.is_ok() {} };
+    timeout(Duration::from_secs(10), sending).await.unwrap();
+}
