Make two new tests fail when their mechanism is broken

Both were written with their change and passed with it broken: the outages of entries_lost_in_a_short_outage_* always fell close before a renewal, and the fast heads of endless_request_heads_* ended by the idle timeout. The outage begins right after a renewal now, and fast heads have a long idle timeout. Seen failing without the notice of a missing entry, and with a read buffer of 1 GB.

--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -107,9 +107,12 @@
 async fn entries_lost_in_a_short_outage_are_restored_within_two_seconds() {
     let store = Memory::default();
     let _a = start(&store, "a").await;
-    for _ in 0..8 {
-        // The outage begins at another point of the renewal interval each time.
-        sleep(Duration::from_millis(2300)).await;
+    for _ in 0..3 {
+        // Right after a renewal, so that the next one comes too late.
+        let renewals = store.calls("renew");
+        while store.calls("renew") == renewals {
+            sleep(Duration::from_millis(10)).await;
+        }
         store.set_down(true);
         store.revoke_all();
         sleep(Duration::from_millis(400)).await;
--- a/crates/front/tests/connections.rs
+++ b/crates/front/tests/connections.rs
@@ -164,8 +164,12 @@
         (b"GET / HTTP/1.1\r\nx: ", b"y"),
     ];
     for (first, unit) in heads {
-        for (count, pause) in [(1000, Duration::ZERO), (1, Duration::from_millis(20))] {
-            let (server, address) = start_server(Duration::from_millis(300), |_| respond_hello());
+        // The fast one must end by its size, the slow one by the idle timeout.
+        for (count, pause, idle_timeout) in [
+            (1000, Duration::ZERO, TIMEOUT * 2),
+            (1, Duration::from_millis(20), Duration::from_millis(300)),
+        ] {
+            let (server, address) = start_server(idle_timeout, |_| respond_hello());
             let mut socket = TcpStream::connect(address).await.unwrap();
             socket.write_all(first).await.unwrap();
             let part = unit.repeat(count);
