--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -6,11 +6,11 @@
 
 use crate::Verdict;
 use crate::client::{Attempt, Class, End};
-use crate::node::{DRAIN, STABLE_WINDOW};
+use crate::node::{CONFIG_APPLY, DRAIN, STABLE_WINDOW};
 use crate::record::Record;
 use crate::store::Mode;
 use crate::target::Target;
-use crate::world::{STATUS, World};
+use crate::world::{STATUS, World, config};
 
 /// Time between the kill of a process and its next start.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
@@ -22,6 +22,7 @@
     match case {
         "leave-in-outage" => leave_in_outage(record, has_trouble),
         "body-in-chunks" => body_in_chunks(record, has_trouble),
+        "lost-watch" => lost_watch(record, has_trouble),
         "late-heartbeat" => late_heartbeat(record, has_trouble),
         _ => Err(std::io::Error::other("unknown case")),
     }
@@ -203,3 +204,73 @@
         Verdict::Held
     })
 }
+
+/// The store gives a third of the machines no response for a moment, in which a route moves to
+/// another service.
+fn lost_watch(record: &Record, has_trouble: bool) -> std::io::Result<Verdict> {
+    const SILENCE: Duration = Duration::from_millis(600);
+    let world = World::start(record, 18)?;
+    world.begin_traffic();
+    thread::sleep(Duration::from_secs(2));
+    record.say("version 2 is acknowledged");
+    world.store.write("op/config", &config(2, "renewals"));
+    thread::sleep(Duration::from_millis(1400));
+    let silent: Vec<usize> = (0..18).step_by(3).collect();
+    if has_trouble {
+        record.say("the store gives 6 machines no response");
+        world.store.set_silent(&silent);
+    }
+    thread::sleep(SILENCE / 2);
+    record.say("version 3 is acknowledged: the route of renewals moves to status-desk");
+    world.store.write("op/config", &config(3, "status-desk"));
+    let changed_at = record.now();
+    thread::sleep(SILENCE / 2);
+    let mut in_touch_at = changed_at;
+    if has_trouble {
+        world.store.set_silent(&[]);
+        record.say("the store serves all machines");
+        in_touch_at = record.now() + STABLE_WINDOW;
+    }
+    thread::sleep(Duration::from_secs(10));
+    world.clients.stop();
+    thread::sleep(Duration::from_secs(2));
+    let bound = in_touch_at.max(changed_at + CONFIG_APPLY);
+    let attempts = world.clients.all();
+    let attempts: HashMap<&str, &Attempt> = attempts
+        .iter()
+        .map(|attempt| (attempt.id.as_str(), attempt))
+        .collect();
+    let mut broken = Vec::new();
+    for target in world
+        .targets
+        .iter()
+        .filter(|target| target.service == "renewals")
+    {
+        for run in target.runs() {
+            let Some(attempt) = attempts.get(run.id.as_str()) else {
+                continue;
+            };
+            if attempt.sent > bound && run.path.starts_with("/renew/") {
+                broken.push((attempt.sent, attempt.machine.clone(), run.id));
+            }
+        }
+    }
+    broken.sort();
+    for (sent, machine, id) in broken.iter().take(5).chain(broken.last()) {
+        record.say(&format!(
+            "broken: {id}, sent at {:.3} on {machine}, {:.1} s after the acknowledgement, ran at the old service",
+            sent.as_secs_f64(),
+            (*sent - changed_at).as_secs_f64()
+        ));
+    }
+    record.say(&format!(
+        "{} requests that were sent after {:.3} ran at the old service",
+        broken.len(),
+        bound.as_secs_f64()
+    ));
+    Ok(if broken.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    })
+}
--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -14,6 +14,7 @@
 /// Bounds of the Skip Permit site.
 pub const DRAIN: Duration = Duration::from_millis(2500);
 pub const GRACE: Duration = Duration::from_secs(6);
+pub const CONFIG_APPLY: Duration = Duration::from_millis(2500);
 pub const STABLE_WINDOW: Duration = Duration::from_millis(4000);
 
 /// One machine with its sidecar process.
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in of the platform's store, as PROTOCOL.md describes it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
@@ -33,6 +33,9 @@
 
 struct State {
     mode: Mode,
+    /// Machines that get no response. A connection on which a response is lost returns nothing
+    /// further.
+    silent: HashSet<usize>,
     items: BTreeMap<String, Item>,
     /// Revision, key and the event as JSON.
     history: Vec<(u64, String, String)>,
@@ -42,34 +45,48 @@
 
 #[derive(Clone)]
 pub struct Store {
-    pub address: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
 }
 
 impl Store {
-    pub fn start(ip: &str) -> std::io::Result<Self> {
-        let listener = TcpListener::bind((ip, 0))?;
+    pub fn start() -> Self {
         let state = State {
             mode: Mode::Normal,
+            silent: HashSet::new(),
             items: BTreeMap::new(),
             history: Vec::new(),
             revision: 1,
             leases: HashMap::new(),
         };
         let store = Self {
-            address: listener.local_addr()?,
             shared: Arc::new((Mutex::new(state), Condvar::new())),
         };
-        let accepting = store.clone();
+        let expiring = store.clone();
+        thread::spawn(move || expiring.expire());
+        store
+    }
+
+    /// Opens an address for the calls of one machine.
+    pub fn listen(&self, ip: &str, machine: usize) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let address = listener.local_addr()?;
+        let accepting = self.clone();
         thread::spawn(move || {
             for socket in listener.incoming().flatten() {
                 let serving = accepting.clone();
-                thread::spawn(move || serving.serve(Connection::new(socket)));
+                thread::spawn(move || serving.serve(Connection::new(socket), machine));
             }
         });
-        let expiring = store.clone();
-        thread::spawn(move || expiring.expire());
-        Ok(store)
+        Ok(address)
+    }
+
+    /// Sets which machines get no response from now on.
+    pub fn set_silent(&self, machines: &[usize]) {
+        self.lock().silent = machines.iter().copied().collect();
+    }
+
+    fn is_silent(&self, machine: usize) -> bool {
+        self.lock().silent.contains(&machine)
     }
 
     pub fn set(&self, mode: Mode) {
@@ -114,14 +131,20 @@
         }
     }
 
-    fn serve(&self, mut connection: Connection) {
+    fn serve(&self, mut connection: Connection, machine: usize) {
         while let Ok(Some(request)) = connection.read(None) {
+            if self.is_silent(machine) {
+                return hold(connection);
+            }
             thread::sleep(ANSWER_TIME);
             let (status, body) = if self.lock().mode == Mode::Busy {
                 (503, "{}".to_owned())
             } else {
                 self.answer(&request)
             };
+            if self.is_silent(machine) {
+                return hold(connection);
+            }
             let start = format!("HTTP/1.1 {status} X");
             let kind = ("Content-Type", "application/json".to_owned());
             if connection.write(&start, &[kind], body.as_bytes()).is_err() {
@@ -229,6 +252,11 @@
     }
 }
 
+/// Keeps a connection open without a response until the peer closes it.
+fn hold(mut connection: Connection) {
+    while let Ok(Some(_)) = connection.read(None) {}
+}
+
 fn transact(state: &mut State, body: &Value) -> (u16, String) {
     let expected = body.get("expected").list();
     let holds = expected.iter().all(|row| {
--- a/review/harness/world.rs
+++ b/review/harness/world.rs
@@ -65,8 +65,9 @@
             .collect();
         let base_port =
             node::find_ports(&ips).ok_or_else(|| std::io::Error::other("no free ports"))?;
-        let store = Store::start(&format!("127.{net}.2.1"))?;
-        store.write("op/config", &config(1));
+        let store = Store::start();
+        let store_ip = format!("127.{net}.2.1");
+        store.write("op/config", &config(1, "renewals"));
         let (mut nodes, mut targets) = (Vec::new(), Vec::new());
         for (index, ip) in ips.iter().enumerate() {
             let (zone, region) = ZONES[index % ZONES.len()];
@@ -79,7 +80,7 @@
                 service,
                 ip,
                 base_port,
-                store: store.address,
+                store: store.listen(&store_ip, index)?,
             };
             let node = Node::new(&place, &folder, record)?;
             node.spawn()?;
@@ -154,8 +155,8 @@
     }
 }
 
-/// Configuration of the operator.
-fn config(version: u32) -> String {
+/// Configuration of the operator, with the service that runs the route of renewals.
+pub fn config(version: u32, renewals: &str) -> String {
     let route = |name: &str, kind: &str, service: &str, timeout: u32, slo: u32, attempts: u32| {
         format!(
             "{{\"name\":\"{name}\",\"pathPrefix\":\"/{name}/\",\"kind\":\"{kind}\",\
@@ -165,7 +166,7 @@
     };
     let paths = [
         route("status", "safe", "status-desk", 800, 400, 2),
-        route("renew", "unsafe", "renewals", 1000, 500, 2),
+        route("renew", "unsafe", renewals, 1000, 500, 2),
         route("pack", "download", "pack-store", 800, 400, 2),
     ];
     let services = SERVICES.map(|name| format!("{{\"name\":\"{name}\",\"maxConns\":130}}"));
