--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -7,8 +8,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 use types::{Deadline, id, size};
+use wire::Stream;
 
 use crate::entry::{Entry, UpstreamStart};
+use crate::handoff::{self, Handoff};
 use crate::own_entry::{OwnUpdate, PreviousEntry, StoredEntry, Written};
 use crate::plan::Plan;
 use crate::publish;
@@ -45,6 +48,7 @@
     pub(crate) written: watch::Sender<Option<Written>>,
     replica: Mutex<Replica>,
     previous_entry: watch::Sender<PreviousEntry>,
+    pub(crate) handoff: Handoff,
     /// Wakes the task that maintains the plan.
     updated: Notify,
 }
@@ -61,6 +65,9 @@
     }
 }
 
+/// Time for which a departure waits for the store before other nodes are asked to keep it.
+const STORE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Longest time until a removed node is left out of the plan after its grace time.
 const PLAN_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -89,6 +96,7 @@
             written: watch::Sender::new(None),
             replica: Mutex::default(),
             previous_entry: watch::Sender::new(PreviousEntry::Unknown),
+            handoff: Handoff::default(),
             updated: Notify::new(),
         });
         let consumer = Arc::clone(&shared);
@@ -172,12 +180,31 @@
 
     /// Publishes the start of the upstream that has departed.
     pub fn set_departed(&self, departed: UpstreamStart) {
-        // The next process must know the departure, so it is published even after this node has
-        // left.
-        self.shared.own_entry.send_modify(|entry| {
-            entry.departed = Some(departed);
-            entry.record.sequence += 1;
-        });
+        self.shared.set_departed(departed);
+    }
+
+    /// Publishes the start of the upstream that has departed, and waits until the departure outlives
+    /// this process: in the store or, while it does not answer, at other nodes. Returns false if the
+    /// deadline passes first.
+    pub async fn keep_departure(&self, departed: UpstreamStart, deadline: Deadline) -> bool {
+        self.set_departed(departed.clone());
+        let store_deadline = deadline.min(Deadline::after(STORE_TIMEOUT));
+        if self.flush(store_deadline).await {
+            return true;
+        }
+        tokio::select! {
+            is_stored = self.flush(deadline) => is_stored,
+            is_kept = handoff::deposit(&self.shared, departed, deadline) => is_kept,
+        }
+    }
+
+    /// Serves a stream on which another node hands over a departure. `apply` is called with one that
+    /// concerns this node.
+    pub async fn serve_handoff<A>(&self, stream: Stream, apply: A)
+    where
+        A: FnOnce(UpstreamStart),
+    {
+        handoff::serve(&self.shared, stream, apply).await;
     }
 
     /// Stops publishing. The entry remains until its lease expires, so that a process that restarts
@@ -188,10 +215,7 @@
 
     /// Waits until the store has the current own entry; returns false if the deadline passes first.
     pub async fn flush(&self, deadline: Deadline) -> bool {
-        let sequence = self.shared.own_entry.borrow().record.sequence;
-        let mut written = self.shared.written.subscribe();
-        let waiting =
-            written.wait_for(|written| written.is_some_and(|written| written.sequence >= sequence));
+        let waiting = self.shared.wait_written(self.shared.sequence());
         tokio::time::timeout_at(deadline.instant(), waiting)
             .await
             .is_ok()
@@ -225,6 +249,63 @@
         format!("{}{}", self.prefix, self.own_entry.borrow().record.id)
     }
 
+    /// Id of this node.
+    pub(crate) fn node(&self) -> id::Node {
+        self.own_entry.borrow().record.id.clone()
+    }
+
+    /// Sequence number of the own record.
+    pub(crate) fn sequence(&self) -> u32 {
+        self.own_entry.borrow().record.sequence
+    }
+
+    /// Waits until the store has the own record with this sequence number or a later one.
+    pub(crate) async fn wait_written(&self, sequence: u32) {
+        let is_written =
+            |written: &Option<Written>| written.is_some_and(|written| written.sequence >= sequence);
+        // The sender lives as long as `self`, so the wait cannot fail.
+        let _ = self.written.subscribe().wait_for(is_written).await;
+    }
+
+    /// Records the start of the upstream that has departed.
+    pub(crate) fn set_departed(&self, departed: UpstreamStart) {
+        // The next process must know the departure, so it is published even after this node has
+        // left.
+        self.own_entry.send_if_modified(|entry| {
+            let is_known = entry.departed.as_ref().is_some_and(|known| {
+                known.instance == departed.instance && known.started >= departed.started
+            });
+            if !is_known {
+                entry.departed = Some(departed);
+                entry.record.sequence += 1;
+            }
+            !is_known
+        });
+    }
+
+    /// A departure of the upstream beside this node.
+    pub(crate) fn departure(&self, departed: UpstreamStart) -> handoff::Departure {
+        let own = self.own_entry.borrow();
+        handoff::Departure {
+            node: own.record.id.clone(),
+            address: own.record.address,
+            departed,
+        }
+    }
+
+    /// Other live nodes, in random order, with the addresses of their peer ports.
+    pub(crate) fn choose_peers(&self, count: usize) -> Vec<(id::Node, SocketAddr)> {
+        let own = self.node();
+        let replica = self.lock();
+        let others = replica
+            .live(Instant::now())
+            .filter(|record| record.id != own);
+        handoff::choose_peers(
+            others.map(|record| (record.id.clone(), record.address)),
+            count,
+        )
+    }
+
     /// Waits until the entry of an earlier process of this node is known.
     pub(crate) async fn wait_previous_entry(&self) {
         // The sender lives as long as `self`, so the wait cannot fail.
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -7,6 +7,8 @@
 //!   small.
 //! - [`Directory`] publishes the entry of this node under a lease and collects the entries of the
 //!   others. The known entries stay in use during outages of the store.
+//!   A departure that the store does not take is handed over to other nodes, so that it outlives the
+//!   process.
 //! - [`ConfigWatcher`] provides the configuration. It ignores versions that are older than the one
 //!   in force or cannot be decoded.
 //! - [`Replica`] decides which entries are valid. Removed ones stay valid for a grace time, because
@@ -41,6 +43,7 @@
 mod difference;
 mod entry;
 mod handle;
+mod handoff;
 mod health;
 mod message;
 mod mirror;
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -47,11 +47,11 @@
     async fn run(&mut self) {
         // The entry of an earlier process must be read before it is replaced.
         self.shared.wait_previous_entry().await;
-        // A node without an upstream has nothing to publish, and each write wakes all other nodes.
-        // The sender lives in `shared`, so the wait cannot fail.
+        // A node without an upstream, present or departed, has nothing to publish, and each write wakes
+        // all other nodes. The sender lives in `shared`, so the wait cannot fail.
         let _ = self
             .own_entry
-            .wait_for(|own| own.record.service.is_some())
+            .wait_for(|own| own.record.service.is_some() || own.departed.is_some())
             .await;
         let mut is_written = false;
         if let Some(stored) = self.shared.known_previous_entry() {
--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -243,6 +243,35 @@
     assert_eq!(previous.departed.unwrap().instance, "i-1");
 }
 
+/// Guards against a departure that reaches a node without an upstream and is never published, so that
+/// the next process sends calls to the departed start.
+#[tokio::test(start_paused = true)]
+async fn a_departure_at_a_node_without_an_upstream_is_published() {
+    let store = Memory::default();
+    store.set_down(true);
+    let process = start_process(&store, "a");
+    process.set_departed(upstream("i-1").start);
+    store.set_down(false);
+    assert!(process.flush(Deadline::after_ms(5000)).await);
+    process.close();
+    let next = start_process(&store, "a");
+    let previous = next.previous_entry().await.unwrap();
+    assert_eq!(previous.departed.unwrap().instance, "i-1");
+}
+
+/// Guards against an entry that is written again with each repetition of a departure.
+#[tokio::test(start_paused = true)]
+async fn a_repeated_departure_is_written_once() {
+    let store = Memory::default();
+    let a = start(&store, "a").await;
+    let puts = store.calls("put");
+    for _ in 0..5 {
+        let deadline = Deadline::after_ms(800);
+        assert!(a.keep_departure(upstream("i-1").start, deadline).await);
+    }
+    assert_eq!(store.calls("put"), puts + 1);
+}
+
 /// Guards against an entry under the key of another node, or without a usable address, that takes
 /// the place of a true one.
 #[tokio::test(start_paused = true)]
--- a/crates/route/src/start_tracker.rs
+++ b/crates/route/src/start_tracker.rs
@@ -156,6 +156,14 @@
         })
     }
 
+    /// Whether a later start than this one is known, so that its departure need not be recorded.
+    #[must_use]
+    pub fn is_superseded(&self, started: Timestamp) -> bool {
+        let current = self.current.as_ref().map(|current| current.started);
+        let departed = self.departed.iter().map(|(_, at)| *at);
+        departed.chain(current).any(|known| known > started)
+    }
+
     /// Records that a start has departed; the upstream may omit `started`. Returns the start time
     /// if it was the current start.
     ///
--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use route::{AnnouncementHeader, AnnouncementOutcome, Stage};
+use thiserror::Error;
 use types::{Deadline, Timestamp};
 
 use crate::{Node, UpstreamMessage};
@@ -17,13 +18,28 @@
 /// Largest accepted message.
 const MAX_MESSAGE_BYTES: usize = 64 * 1024;
 
-/// Longest time that the acknowledgement of a departure waits for the store. The departure takes
-/// effect in this process of the node at once; the stored copy is for its next process.
-const DEPARTURE_FLUSH_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time that a message waits for the directory to load and for a departure to be kept. The
+/// sender accepts an acknowledgement within one second and sends its next message about a second
+/// later.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Longest time that an announcement waits for the directory to load. The sender accepts an
-/// acknowledgement within one second and sends its next announcement about a second later.
-const DIRECTORY_LOAD_TIMEOUT: Duration = Duration::from_millis(800);
+/// Reason why a message is not acknowledged.
+#[derive(Debug, Error)]
+enum Refusal {
+    #[error("{0}")]
+    Invalid(String),
+    #[error("departure is neither stored nor kept by other nodes")]
+    NotKept,
+}
+
+impl Refusal {
+    const fn status(&self) -> StatusCode {
+        match self {
+            Self::Invalid(_) => StatusCode::BAD_REQUEST,
+            Self::NotKept => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
 
 /// Handles one message and returns its acknowledgement, or a refusal with the reason.
 pub(crate) async fn handle_message(
@@ -50,13 +66,13 @@
         Ok(UpstreamMessage::Leave { instance, started }) => {
             handle_leave(&node, instance, started).await
         }
-        Err(reason) => Err(reason),
+        Err(reason) => Err(Refusal::Invalid(reason)),
     };
     match handled {
         Ok(()) => Ok(build_acknowledgement()),
-        Err(reason) => {
-            log::warn!(path, reason = reason.as_str(); "invalid message from the upstream ignored");
-            Ok(build_refusal(StatusCode::BAD_REQUEST, &reason))
+        Err(refusal) => {
+            log::warn!(path, reason:% = refusal; "message from the upstream not acknowledged");
+            Ok(build_refusal(refusal.status(), &refusal.to_string()))
         }
     }
 }
@@ -78,83 +94,94 @@
     response
 }
 
-/// Applies a heartbeat. Returns the reason when it names no upstream that calls can be sent to.
+/// Applies a heartbeat. One that says that the upstream drains is acknowledged only when this outlives
+/// the process.
 async fn handle_heartbeat(
     node: &Node,
     header: &AnnouncementHeader,
     announcement: Announcement,
-) -> Result<(), String> {
-    node.check_announcement(header, &announcement)?;
+) -> Result<(), Refusal> {
+    node.check_announcement(header, &announcement)
+        .map_err(Refusal::Invalid)?;
+    let deadline = Deadline::after(ACKNOWLEDGEMENT_TIMEOUT);
+    let is_draining = header.stage == Stage::Draining;
     if !node.directory.is_ready() {
-        if header.stage == Stage::Draining {
+        if is_draining {
             // The stored entry of an earlier process of this node may name this process of the
             // upstream as the one that receives calls.
             node.record_departure(&header.instance, Some(header.started));
         }
         // The directory holds departures recorded by an earlier process of this node; a late
         // announcement must not make a process of the upstream that has left receive calls again.
-        let deadline = Deadline::after(DIRECTORY_LOAD_TIMEOUT);
         if !node.directory.wait_ready(deadline).await {
             log::info!(
                 instance:% = header.instance;
                 "announcement ignored: directory is not loaded yet"
             );
-            return Ok(());
+            return if is_draining {
+                keep_departure(node, header.instance.clone(), header.started, deadline).await
+            } else {
+                Ok(())
+            };
         }
     }
-    let outcome = node.apply_announcement(header);
-    match outcome {
+    match node.apply_announcement(header, announcement) {
         AnnouncementOutcome::Ignored(reason) => {
             log::info!(
                 instance:% = header.instance, started:% = header.started,
                 sequence = header.sequence, reason; "announcement ignored"
             );
         }
-        AnnouncementOutcome::Current(stage) => node.target.announce(announcement.with_state(stage)),
+        AnnouncementOutcome::Current(_) => {}
         AnnouncementOutcome::New(stage) => {
             log::info!(
                 instance:% = header.instance, started:% = header.started, stage:?;
                 "announcement from a new process of the upstream"
             );
-            node.target.announce(announcement.with_state(stage));
         }
     }
-    if header.stage == Stage::Draining && !matches!(outcome, AnnouncementOutcome::Ignored(_)) {
-        store_departure(node, header.instance.clone(), header.started).await;
+    if !is_draining {
+        return Ok(());
+    }
+    if node.is_upstream_ready(&header.instance, header.started) {
+        return Err(Refusal::Invalid("announcement is out of order".to_owned()));
     }
-    Ok(())
+    keep_departure(node, header.instance.clone(), header.started, deadline).await
 }
 
 async fn handle_leave(
     node: &Node,
     instance: String,
     started: Option<Timestamp>,
-) -> Result<(), String> {
+) -> Result<(), Refusal> {
     if started.is_some_and(|started| route::is_ahead(started, Timestamp::now())) {
-        return Err("start lies in the future".to_owned());
+        return Err(Refusal::Invalid("start lies in the future".to_owned()));
     }
+    let deadline = Deadline::after(ACKNOWLEDGEMENT_TIMEOUT);
     let current = node.record_departure(&instance, started);
     log::info!(instance:%, is_current = current.is_some(); "upstream left");
-    if current.is_some() {
-        node.target.withdraw();
-    }
     let started = current.or(started).unwrap_or_else(Timestamp::now);
-    store_departure(node, instance, started).await;
-    Ok(())
+    keep_departure(node, instance, started, deadline).await
 }
 
-/// Writes a departure to the store, in case this process of the node ends before the upstream does.
-async fn store_departure(node: &Node, instance: String, started: Timestamp) {
-    node.directory.set_departed(UpstreamStart {
+/// Makes a departure outlive this process of the node, which may end before the upstream does.
+async fn keep_departure(
+    node: &Node,
+    instance: String,
+    started: Timestamp,
+    deadline: Deadline,
+) -> Result<(), Refusal> {
+    if node.is_upstream_superseded(started) {
+        return Ok(());
+    }
+    let departed = UpstreamStart {
         instance,
         started,
         address: None,
-    });
-    if !node
-        .directory
-        .flush(Deadline::after(DEPARTURE_FLUSH_TIMEOUT))
-        .await
-    {
-        log::warn!("departure of the upstream is not stored yet");
+    };
+    if node.directory.keep_departure(departed, deadline).await {
+        Ok(())
+    } else {
+        Err(Refusal::NotKept)
     }
 }
--- a/crates/sidecar/src/daemon.rs
+++ b/crates/sidecar/src/daemon.rs
@@ -171,6 +171,7 @@
     match kind {
         Kind::Call => node.target.serve(stream).await,
         Kind::Control => node.relay.serve(stream).await,
+        Kind::Handoff => node.serve_handoff(stream).await,
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use types::{Incarnation, Timestamp, Version, id, size};
+use wire::Stream;
 
 use crate::metrics::Snapshot;
 use crate::{Adapter, Configuration, Error, Metrics};
@@ -207,15 +208,39 @@
         self.closed.store(true, Ordering::Release);
     }
 
-    /// Records that a process of the upstream has left. Returns its start time if it was the
-    /// process that received calls.
+    /// Records that a process of the upstream has left, which gets no further calls. Returns its
+    /// start time if it was the process that received calls.
     pub fn record_departure(
         &self,
         instance: &str,
         started: Option<Timestamp>,
     ) -> Option<Timestamp> {
-        self.lock_start_tracker()
-            .record_departure(instance, started, Timestamp::now())
+        // The lock keeps a concurrent announcement of the same process from being applied after its
+        // departure.
+        let mut start_tracker = self.lock_start_tracker();
+        let current = start_tracker.record_departure(instance, started, Timestamp::now());
+        if current.is_some() {
+            self.target.withdraw();
+        }
+        current
+    }
+
+    /// Whether this process of the upstream receives calls and does not drain.
+    pub(crate) fn is_upstream_ready(&self, instance: &str, started: Timestamp) -> bool {
+        self.lock_start_tracker().is_current(instance, started)
+    }
+
+    /// Whether a later process of the upstream is known.
+    pub(crate) fn is_upstream_superseded(&self, started: Timestamp) -> bool {
+        self.lock_start_tracker().is_superseded(started)
+    }
+
+    /// Serves a stream on which another node hands over a departure.
+    pub(crate) async fn serve_handoff(&self, stream: Stream) {
+        let apply = |departed: UpstreamStart| {
+            self.record_departure(&departed.instance, Some(departed.started));
+        };
+        self.directory.serve_handoff(stream, apply).await;
     }
 
     /// Restores what an earlier process of this node stored about its upstream: the process of the
@@ -295,9 +320,18 @@
     }
 
     /// Applies an announcement of the upstream and returns the decision on it.
-    pub fn apply_announcement(&self, header: &AnnouncementHeader) -> AnnouncementOutcome {
-        self.lock_start_tracker()
-            .record_announcement(header, Instant::now())
+    pub fn apply_announcement(
+        &self,
+        header: &AnnouncementHeader,
+        announcement: Announcement,
+    ) -> AnnouncementOutcome {
+        // The lock keeps a concurrent departure from being undone.
+        let mut start_tracker = self.lock_start_tracker();
+        let outcome = start_tracker.record_announcement(header, Instant::now());
+        if let AnnouncementOutcome::Current(stage) | AnnouncementOutcome::New(stage) = outcome {
+            self.target.announce(announcement.with_state(stage));
+        }
+        outcome
     }
 
     fn lock_start_tracker(&self) -> MutexGuard<'_, StartTracker> {
--- /dev/null
+++ b/crates/sidecar/tests/departures.rs
@@ -0,0 +1,161 @@
+//! Departures of upstreams that outlive the process of the node that has acknowledged them.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use standin::Memory;
+use support::{Process, TIMEOUT, Upstream, send, start_upstream, status, wait_status};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Nodes of a fleet.
+const NODES: usize = 5;
+
+/// Time between the start of a process and the time at which its node is in touch with the others.
+const STABLE_WINDOW: Duration = Duration::from_secs(4);
+
+/// How a store fails.
+#[derive(Clone, Copy, Debug)]
+enum Outage {
+    /// All calls are refused.
+    Refusing,
+    /// No call is answered.
+    Silent,
+}
+
+impl Outage {
+    fn set(self, store: &Memory, is_active: bool) {
+        match self {
+            Self::Refusing => store.set_down(is_active),
+            Self::Silent => store.set_silent(is_active),
+        }
+    }
+}
+
+/// Fleet whose nodes all have an upstream.
+struct Fleet {
+    store: Memory,
+    processes: Vec<Process>,
+    upstreams: Vec<Upstream>,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let store = Memory::default();
+        store.set("config", b"3");
+        let (mut processes, mut upstreams) = (Vec::new(), Vec::new());
+        for index in 0..NODES {
+            processes.push(Process::start(&store, &format!("n{index}")).await);
+            upstreams.push(start_upstream());
+        }
+        let fleet = Self {
+            store,
+            processes,
+            upstreams,
+        };
+        fleet.announce(0, 1).await;
+        fleet.wait_known().await;
+        fleet
+    }
+
+    /// Lets the upstreams from `first` on announce themselves, since announcements expire.
+    async fn announce(&self, first: usize, sequence: u32) {
+        let nodes = self.processes.iter().zip(&self.upstreams).enumerate();
+        for (index, (process, upstream)) in nodes.skip(first) {
+            wait_status(process.node.ready, "GET /", "200").await;
+            let instance = format!("i-{index}");
+            upstream
+                .send_heartbeat(&process.node, &instance, sequence, "ready")
+                .await;
+        }
+    }
+
+    /// Waits until all nodes know each other.
+    async fn wait_known(&self) {
+        let known = format!("dandelionseam_nodes {NODES}");
+        for process in &self.processes {
+            let polling = async {
+                while !send(process.node.metrics, "GET /metrics")
+                    .await
+                    .contains(&known)
+                {
+                    sleep(Duration::from_millis(50)).await;
+                }
+            };
+            timeout(TIMEOUT, polling).await.unwrap();
+        }
+    }
+
+    /// Sends requests through all nodes but the first, and returns how many the first upstream gets.
+    async fn count_requests(&self, period: Duration) -> usize {
+        let counter = &self.upstreams[0].request_count;
+        let before = counter.load(Ordering::SeqCst);
+        let end = Instant::now() + period;
+        while Instant::now() < end {
+            for process in &self.processes[1..] {
+                send(process.node.callers, "GET /status/1").await;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        counter.load(Ordering::SeqCst) - before
+    }
+}
+
+/// Guards against a departure that is acknowledged during an outage of the store and forgotten when
+/// the process that acknowledged it is killed, once or twice: the stored entry still names the
+/// upstream, and so does a heartbeat that arrives late.
+#[tokio::test(flavor = "multi_thread")]
+async fn departures_acknowledged_during_an_outage_outlive_the_process() {
+    let draining = "POST /heartbeat/i-0/7/9/draining/127.0.0.1:1";
+    let mut cases = JoinSet::new();
+    for (outage, message, kills, is_late_heartbeat) in [
+        (Outage::Refusing, "POST /leave/i-0/7", 1, false),
+        (Outage::Refusing, "POST /leave/i-0", 1, true),
+        (Outage::Refusing, draining, 2, true),
+        (Outage::Silent, "POST /leave/i-0/7", 2, true),
+        (Outage::Silent, draining, 1, false),
+    ] {
+        cases.spawn(async move {
+            let case = format!("{outage:?}, {message}, {kills} kills, late: {is_late_heartbeat}");
+            let requests = play_departure(outage, message, kills, is_late_heartbeat).await;
+            assert_eq!(requests, 0, "{case}");
+        });
+    }
+    cases.join_all().await;
+}
+
+/// Plays a departure during an outage and the kills of the node that has acknowledged it. Returns the
+/// number of requests that the upstream gets afterwards.
+async fn play_departure(
+    outage: Outage,
+    message: &str,
+    kills: usize,
+    is_late_heartbeat: bool,
+) -> usize {
+    let mut fleet = Fleet::start().await;
+    let served = fleet.count_requests(Duration::from_millis(300)).await;
+    assert!(served > 0, "the upstream is not in use");
+    outage.set(&fleet.store, true);
+    let announcements = fleet.processes[0].node.announcements;
+    let acknowledgement = send(announcements, message).await;
+    assert_eq!(status(&acknowledgement), "200", "{acknowledgement}");
+    for _ in 0..kills {
+        fleet.processes[0].kill().await;
+        fleet.processes[0].restart().await;
+        sleep(Duration::from_millis(300)).await;
+    }
+    outage.set(&fleet.store, false);
+    if is_late_heartbeat {
+        let node = &fleet.processes[0].node;
+        wait_status(node.ready, "GET /", "200").await;
+        let heartbeat = fleet.upstreams[0].send_heartbeat(node, "i-0", 5, "ready");
+        heartbeat.await;
+    }
+    sleep(STABLE_WINDOW).await;
+    fleet.announce(1, 6).await;
+    fleet.count_requests(Duration::from_secs(1)).await
+}
--- /dev/null
+++ b/crates/sidecar/tests/support/mod.rs
@@ -0,0 +1,309 @@
+//! Nodes on an in-memory store and real sockets, and an upstream that counts its requests.
+
+#![allow(
+    clippy::unwrap_used,
+    dead_code,
+    reason = "each test file uses a part of it"
+)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bundle::{Bundle, Source};
+use call::{Announcement, HeaderCodec};
+use front::{Limits, Server, full};
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+use route::{AnnouncementHeader, Stage};
+use settings::Settings;
+use sidecar::{Adapter, Configuration, Keys, RequestMetadata, UpstreamMessage};
+use standin::Memory;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::time::{sleep, timeout};
+use types::{Timestamp, Version, size};
+
+/// Upper bound for operations that take a few messages, with room for a busy machine.
+pub const TIMEOUT: Duration = Duration::from_secs(10);
+
+const CONFIG: &str = "
+[service]
+name = renewals
+owner = caroni
+[route status]
+path = /status/
+repeatable = yes
+";
+
+/// Returns `CONFIG` as a configuration; the stored value is its version.
+fn decode(bytes: &[u8]) -> Result<(Version, Configuration), String> {
+    let text = std::str::from_utf8(bytes).map_err(|error| error.to_string())?;
+    let version: Version = text.parse().map_err(|_| "invalid version".to_owned())?;
+    let (source, findings) = Source::parse("renewals.ini", "renewals.ini", CONFIG);
+    assert!(findings.is_empty(), "{findings}");
+    let bundle = Bundle::new(version, Timestamp::default(), [source.unwrap().service]);
+    let config = Configuration {
+        bundle: Arc::new(bundle.unwrap()),
+        max_header_bytes: 16 * 1024,
+        max_body_bytes: 1024,
+        idle_timeout: Duration::from_secs(15),
+    };
+    Ok((version, config))
+}
+
+/// Parses `/heartbeat/INSTANCE/STARTED/SEQUENCE/STAGE/ADDRESS` and `/leave/INSTANCE[/STARTED]`.
+fn parse_message(_: &Method, path: &str, _: &[u8]) -> Result<UpstreamMessage, String> {
+    let parts: Vec<_> = path.trim_start_matches('/').split('/').collect();
+    match parts[..] {
+        [
+            kind @ ("heartbeat" | "unknown-service"),
+            instance,
+            started,
+            sequence,
+            stage,
+            address,
+        ] => {
+            let stage = if stage == "ready" {
+                Stage::Ready
+            } else {
+                Stage::Draining
+            };
+            let started = Timestamp::new(started.parse().unwrap());
+            let header = AnnouncementHeader {
+                instance: instance.to_owned(),
+                started,
+                sequence: sequence.parse().unwrap(),
+                stage,
+            };
+            let (slots, connections) = (size::Slots::new(4), size::Connections::new(20));
+            let service = match kind {
+                "heartbeat" => "renewals",
+                _ => "other",
+            };
+            let service = service.parse().unwrap();
+            let mut announcement =
+                Announcement::new(service, address.parse().unwrap(), slots, connections);
+            instance.clone_into(&mut announcement.instance);
+            announcement.started = started;
+            Ok(UpstreamMessage::Heartbeat(header, announcement))
+        }
+        ["leave", instance] => Ok(UpstreamMessage::Leave {
+            instance: instance.to_owned(),
+            started: None,
+        }),
+        ["leave", instance, started] => Ok(UpstreamMessage::Leave {
+            instance: instance.to_owned(),
+            started: Some(Timestamp::new(started.parse().unwrap())),
+        }),
+        _ => Err("unknown path".to_owned()),
+    }
+}
+
+fn build_adapter(store: &Memory) -> Adapter {
+    Adapter {
+        backend: store.backend(),
+        keys: Keys {
+            configuration: "config".to_owned(),
+            node_prefix: "mesh/".to_owned(),
+        },
+        decode_configuration: Arc::new(decode),
+        read_request: Box::new(|_| RequestMetadata {
+            id: None,
+            timeout: Some(Duration::from_secs(2)),
+        }),
+        set_caller_service: Box::new(|service, headers| {
+            headers.insert("caller-service", service.parse().unwrap());
+        }),
+        set_retry_after: Box::new(|delay, headers| {
+            let text = delay.as_millis().to_string();
+            headers.insert("retry-after-ms", text.parse().unwrap());
+        }),
+        parse_message: Box::new(parse_message),
+        header_codec: Arc::new(HeaderCodec::default()),
+    }
+}
+
+/// Ports of a running node.
+pub struct Node {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub announcements: SocketAddr,
+    pub metrics: SocketAddr,
+    settings: tempfile::NamedTempFile,
+}
+
+/// First of the ports of a node. Below the range from which the system takes the ports of clients.
+const FIRST_PORT: u16 = 7601;
+
+/// Addresses of the ports of the next node, on a loopback IP of its own. A port that is found free and
+/// bound later may be taken in between, by a node of another test or by a client.
+fn reserve_ports() -> [SocketAddr; 5] {
+    static NODES: AtomicU8 = AtomicU8::new(1);
+    let node = NODES.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    [0, 1, 2, 3, 4].map(|port| SocketAddr::from(([127, high | 128, low, node], FIRST_PORT + port)))
+}
+
+impl Node {
+    /// Reserves the ports of a node and writes its settings.
+    fn prepare(name: &str) -> Self {
+        let [callers, peers, ready, announcements, metrics] = reserve_ports();
+        let text = format!(
+            "[node]\nid = {name}\nregion = north\ndomain = north-a\n[listen]\ncallers = {callers}\n\
+             peers = {peers}\nready = {ready}\nannouncements = {announcements}\nmetrics = {metrics}\n\
+             [upstream]\nservice = {name}-service\n"
+        );
+        let settings = tempfile::NamedTempFile::new().unwrap();
+        std::fs::write(settings.path(), &text).unwrap();
+        Self {
+            callers,
+            ready,
+            announcements,
+            metrics,
+            settings,
+        }
+    }
+
+    async fn run(path: PathBuf, store: Memory) {
+        let text = std::fs::read_to_string(&path).unwrap();
+        let settings = Settings::read("node.ini", &text).unwrap();
+        let result = sidecar::run(path, settings, build_adapter(&store)).await;
+        result.unwrap();
+    }
+
+    /// Waits until the process of the node listens, or does not any more.
+    async fn wait_listening(&self, expected: bool) {
+        let connecting = async {
+            while TcpStream::connect(self.announcements).await.is_ok() != expected {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(TIMEOUT, connecting).await.unwrap();
+    }
+}
+
+pub async fn start_node(store: &Memory, name: &str) -> Node {
+    let node = Node::prepare(name);
+    tokio::spawn(Node::run(node.settings.path().to_owned(), store.clone()));
+    node.wait_listening(true).await;
+    node
+}
+
+/// Node in a runtime of its own, so that its process can be killed and started again.
+pub struct Process {
+    pub node: Node,
+    store: Memory,
+    runtime: Option<Runtime>,
+}
+
+impl Process {
+    pub async fn start(store: &Memory, name: &str) -> Self {
+        let mut process = Self {
+            node: Node::prepare(name),
+            store: store.clone(),
+            runtime: None,
+        };
+        process.restart().await;
+        process
+    }
+
+    /// Ends the tasks and closes the sockets, as a kill does.
+    pub async fn kill(&mut self) {
+        self.runtime.take().unwrap().shutdown_background();
+        self.node.wait_listening(false).await;
+    }
+
+    /// Starts a process of the node after [`Process::kill`].
+    pub async fn restart(&mut self) {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let path = self.node.settings.path().to_owned();
+        runtime.spawn(Node::run(path, self.store.clone()));
+        self.runtime = Some(runtime);
+        self.node.wait_listening(true).await;
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Sends one request on a new connection and returns the complete response.
+pub async fn send(address: SocketAddr, line: &str) -> String {
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    let text = format!(
+        "{line} HTTP/1.1\r\nhost: portal.example\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+    );
+    socket.write_all(text.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    let result = timeout(TIMEOUT, socket.read_to_string(&mut response)).await;
+    result.unwrap().unwrap();
+    response
+}
+
+pub fn status(response: &str) -> &str {
+    response.split(' ').nth(1).unwrap_or_default()
+}
+
+/// Sends a request repeatedly until its response has the expected status.
+pub async fn wait_status(address: SocketAddr, line: &str, expected: &str) -> String {
+    let poll = async {
+        loop {
+            let response = send(address, line).await;
+            if status(&response) == expected {
+                return response;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(TIMEOUT, poll).await.unwrap()
+}
+
+/// Upstream that counts its requests and records the last one.
+pub struct Upstream {
+    pub address: SocketAddr,
+    pub request_count: Arc<AtomicUsize>,
+    pub last_request: Arc<Mutex<Option<http::request::Parts>>>,
+}
+
+pub fn start_upstream() -> Upstream {
+    let limits = Limits {
+        max_header_bytes: 16 * 1024,
+        idle_timeout: TIMEOUT,
+        max_connections: 100,
+    };
+    let listener = front::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (request_count, last_request) = (Arc::<AtomicUsize>::default(), Arc::<Mutex<_>>::default());
+    let (counter, recorder) = (Arc::clone(&request_count), Arc::clone(&last_request));
+    let handler = move |request: Request<Incoming>| {
+        counter.fetch_add(1, Ordering::SeqCst);
+        *recorder.lock().unwrap() = Some(request.into_parts().0);
+        async { Ok(Response::new(full("done"))) }
+    };
+    tokio::spawn(Arc::new(Server::new(move || limits)).serve(listener, handler));
+    Upstream {
+        address,
+        request_count,
+        last_request,
+    }
+}
+
+impl Upstream {
+    pub async fn send_heartbeat(&self, node: &Node, instance: &str, sequence: u32, stage: &str) {
+        let address = self.address;
+        let line = format!("POST /heartbeat/{instance}/7/{sequence}/{stage}/{address}");
+        assert_eq!(status(&send(node.announcements, &line).await), "200");
+    }
+}
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -11,6 +11,7 @@
 };
 use futures::FutureExt;
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
 
 /// Time after which a call that gets no answer fails.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -30,6 +31,7 @@
     leases: BTreeSet<u64>,
     next_lease: u64,
     down: bool,
+    silent: bool,
     /// Watches that began before this one wait without an answer.
     deaf: usize,
     /// Puts that are done and not answered.
@@ -62,38 +64,49 @@
             health: Health::default(),
             list: Box::new(move |request| {
                 let store = list.clone();
-                async move { store.list(&request) }.boxed()
+                let call = async move { store.list(&request) };
+                list.clone().answer(CALL_TIMEOUT, call).boxed()
             }),
             watch: Box::new(move |request| {
-                let store = watch.clone();
-                async move { store.watch(&request).await }.boxed()
+                let (store, timeout) = (watch.clone(), request.wait + CALL_TIMEOUT);
+                let call = async move { store.watch(&request).await };
+                watch.clone().answer(timeout, call).boxed()
             }),
-            grant: Box::new(move |life| {
-                let result = grant.called("grant").map(|mut state| {
-                    state.next_lease += 1;
-                    let id = state.next_lease;
-                    state.leases.insert(id);
-                    Lease {
-                        id: LeaseId(id),
-                        ttl: life,
-                    }
-                });
-                async move { result }.boxed()
+            grant: Box::new(move |ttl| {
+                let store = grant.clone();
+                let call = async move { store.grant(ttl) };
+                grant.clone().answer(CALL_TIMEOUT, call).boxed()
             }),
             renew: Box::new(move |lease| {
-                let result = renew.called("renew").and_then(|state| {
-                    let lives = state.leases.contains(&lease.0);
-                    lives.then_some(()).ok_or(Error::LeaseExpired)
-                });
-                async move { result }.boxed()
+                let store = renew.clone();
+                let call = async move { store.renew(lease) };
+                renew.clone().answer(CALL_TIMEOUT, call).boxed()
             }),
             put: Box::new(move |(item, lease, held)| {
-                let result = put.write(item, lease, held);
-                async move { result }.boxed()
+                let store = put.clone();
+                let call = async move { store.write(item, lease, held) };
+                put.clone().answer(CALL_TIMEOUT, call).boxed()
             }),
         })
     }
 
+    /// Makes a call. It gets no answer and times out when it is made, or its answer is due, while the
+    /// store is silent.
+    async fn answer<T, F>(self, timeout: Duration, call: F) -> Result<T, Error>
+    where
+        F: Future<Output = Result<T, Error>>,
+    {
+        let times_out_at = Instant::now() + timeout;
+        if !self.lock().silent {
+            let result = call.await;
+            if !self.lock().silent {
+                return result;
+            }
+        }
+        sleep_until(times_out_at).await;
+        Err(Error::Unavailable("timed out".to_owned()))
+    }
+
     /// Writes a key as somebody else.
     pub fn set(&self, key: &str, value: &[u8]) {
         let mut state = self.lock();
@@ -133,6 +146,11 @@
         self.lock().down = down;
     }
 
+    /// Leaves the calls without an answer that are made, or whose answers are due, while this is set.
+    pub fn set_silent(&self, silent: bool) {
+        self.lock().silent = silent;
+    }
+
     /// Lets the watches that wait now never answer, as after an outage in which their connections stayed
     /// open.
     pub fn deafen_watches(&self) {
@@ -202,7 +220,7 @@
             let state = self.called("watch")?;
             state.calls.get("watch").copied().unwrap_or_default()
         };
-        let until = tokio::time::Instant::now() + request.wait;
+        let until = Instant::now() + request.wait;
         loop {
             {
                 let state = self.lock();
@@ -233,6 +251,22 @@
         }
     }
 
+    fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
+        let mut state = self.called("grant")?;
+        state.next_lease += 1;
+        let id = state.next_lease;
+        state.leases.insert(id);
+        Ok(Lease {
+            id: LeaseId(id),
+            ttl,
+        })
+    }
+
+    fn renew(&self, lease: LeaseId) -> Result<(), Error> {
+        let lives = self.called("renew")?.leases.contains(&lease.0);
+        lives.then_some(()).ok_or(Error::LeaseExpired)
+    }
+
     fn write(&self, item: Item, lease: LeaseId, held: Revision) -> Result<Revision, Error> {
         let mut state = self.called("put")?;
         if !state.leases.contains(&lease.0) {
--- a/crates/wire/src/kind.rs
+++ b/crates/wire/src/kind.rs
@@ -5,6 +5,8 @@
     Control,
     /// A single call.
     Call,
+    /// Handoff of a departure that the store does not have yet.
+    Handoff,
 }
 
 impl Kind {
@@ -13,12 +15,13 @@
         match self {
             Self::Control => "/control",
             Self::Call => "/call",
+            Self::Handoff => "/handoff",
         }
     }
 
     /// Returns the kind with a request path, or `None` for an unknown path.
     pub(crate) fn from_path(path: &str) -> Option<Self> {
-        [Self::Control, Self::Call]
+        [Self::Control, Self::Call, Self::Handoff]
             .into_iter()
             .find(|kind| kind.path() == path)
     }
