An entry that a late write of an earlier process has replaced is written again

Callers: none seen; an observation of the review by reading. A node stays marked as left for the others, who send it no calls, although it is ready and its target serves.

Cause: the last write of a stopping process may be done seconds later. The next process has taken the entry over unchanged by then, so the condition of the write still holds, and the publisher looked only for a missing entry.

Change: the publisher also writes when an entry of another process of the node differs from its own.

Why it works: the conditional write conflicts once, learns the revision and replaces the late entry. The incarnation tells the own writes apart, so there is no loop; the test allows two writes in 12 s.

--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -42,8 +42,8 @@
     pub(crate) prefix: String,
     /// Entry that the store should hold for this node.
     pub(crate) own_entry: watch::Sender<Entry>,
-    /// Wakes the publisher if the own entry is missing from the store.
-    pub(crate) entry_missing: Notify,
+    /// Wakes the publisher if the own entry is missing from the store or was replaced there.
+    pub(crate) entry_outdated: Notify,
     /// Own entry that this process has last written to the store, or found there.
     pub(crate) written: watch::Sender<Option<Written>>,
     replica: Mutex<Replica>,
@@ -92,7 +92,7 @@
                 departed: None,
                 current: None,
             }),
-            entry_missing: Notify::new(),
+            entry_outdated: Notify::new(),
             written: watch::Sender::new(None),
             replica: Mutex::default(),
             previous_entry: watch::Sender::new(PreviousEntry::Unknown),
@@ -330,13 +330,16 @@
             OwnUpdate::None => {}
             OwnUpdate::Found(stored) => {
                 self.keep_departed(&stored.entry);
+                if self.is_replaced_by(&stored.entry) {
+                    self.entry_outdated.notify_one();
+                }
                 self.resolve_previous(PreviousEntry::Found(stored));
             }
             OwnUpdate::Missing => {
                 // An update from before the write does not contain the entry.
                 let was_written = |written: Written| reached > written.revision;
                 if self.written.borrow().is_some_and(was_written) {
-                    self.entry_missing.notify_one();
+                    self.entry_outdated.notify_one();
                 }
                 self.resolve_previous(PreviousEntry::Absent);
             }
@@ -389,6 +392,15 @@
         own
     }
 
+    /// Whether an earlier process of this node has replaced the entry that this one has written or taken
+    /// over. A write whose answer was lost may be done seconds later.
+    fn is_replaced_by(&self, stored: &Entry) -> bool {
+        let own = self.own_entry.borrow();
+        self.written.borrow().is_some()
+            && stored.record.incarnation != own.record.incarnation
+            && !own.is_equivalent(stored)
+    }
+
     /// Takes over the departure that an earlier process has published.
     fn keep_departed(&self, stored: &Entry) {
         self.own_entry.send_if_modified(|own| {
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -108,8 +108,8 @@
                 () = sleep_until(self.renew_at) => {}
                 // The sender lives in `shared`, so the wait cannot fail.
                 _ = self.own_entry.changed() => is_written = false,
-                () = self.shared.entry_missing.notified() => {
-                    log::warn!("own entry is missing from the store");
+                () = self.shared.entry_outdated.notified() => {
+                    log::warn!("own entry is missing from the store or was replaced there");
                     is_written = false;
                 }
             }
--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -20,15 +20,13 @@
 };
 
 fn record(name: &str) -> Record {
+    record_in(name, Incarnation::new(1))
+}
+
+fn record_in(name: &str, incarnation: Incarnation) -> Record {
     let address = "127.0.0.1:8081".parse().unwrap();
     let (region, domain) = ("north".parse().unwrap(), "north-a".parse().unwrap());
-    Record::new(
-        name.parse().unwrap(),
-        address,
-        region,
-        domain,
-        Incarnation::new(1),
-    )
+    Record::new(name.parse().unwrap(), address, region, domain, incarnation)
 }
 
 fn upstream(instance: &str) -> Upstream {
@@ -48,8 +46,17 @@
     start_process_with(store, name, OPTIONS)
 }
 
+/// Starts a process that an earlier one of the same node can be told from.
+fn start_process_in(store: &Memory, name: &str, incarnation: Incarnation) -> Directory {
+    start_process_of(store, record_in(name, incarnation), OPTIONS)
+}
+
 fn start_process_with(store: &Memory, name: &str, options: WatchOptions) -> Directory {
-    let (backend, record) = (store.backend(), record(name));
+    start_process_of(store, record(name), options)
+}
+
+fn start_process_of(store: &Memory, record: Record, options: WatchOptions) -> Directory {
+    let backend = store.backend();
     let relay = Relay::start(Arc::clone(&backend), record.id.clone());
     Directory::start(backend, &relay, "mesh/", options, record)
 }
@@ -259,6 +266,31 @@
     assert_eq!(previous.departed.unwrap().instance, "i-1");
 }
 
+/// Guards against a late write of an earlier process that marks the node as left for the others, after
+/// its next process has taken the entry over unchanged.
+#[tokio::test(start_paused = true)]
+async fn a_late_write_of_an_earlier_process_is_replaced() {
+    let store = Memory::default();
+    let old_process = start(&store, "a").await;
+    let b = start(&store, "b").await;
+    let before = store.get("mesh/a").unwrap();
+    old_process.mark_left();
+    assert!(old_process.flush(Deadline::after_ms(5000)).await);
+    old_process.close();
+    let late_write = store.get("mesh/a").unwrap();
+    store.set_under_lease("mesh/a", &before, 1);
+    let new_process = start_process_in(&store, "a", Incarnation::new(2));
+    new_process.set_upstream(Some(upstream("i-1")));
+    assert!(new_process.flush(Deadline::after_ms(5000)).await);
+    store.set_under_lease("mesh/a", &late_write, 1);
+    let puts = store.calls("put");
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(targets(&b), ["a", "b"]);
+    sleep(Duration::from_secs(10)).await;
+    // One write conflicts with the late one.
+    assert!(store.calls("put") <= puts + 2, "written in a loop");
+}
+
 /// Guards against an entry that is written again with each repetition of a departure.
 #[tokio::test(start_paused = true)]
 async fn a_repeated_departure_is_written_once() {
