--- a/crates/route/src/start_tracker.rs
+++ b/crates/route/src/start_tracker.rs
@@ -5,8 +5,8 @@
 
 use crate::Stage;
 
-/// Time without announcements of the current start after which an older one is accepted again. The
-/// clock of the current one may have been ahead when it started.
+/// Time without announcements of the current start, or since a departure was restored, after which an
+/// older start is accepted again. The clock of the later one may have been ahead when it started.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Maximum time by which the start of an upstream may lie ahead of the node's clock. The clocks of
@@ -73,6 +73,8 @@
 pub struct StartTracker {
     current: Option<Current>,
     departed: Vec<(String, Timestamp)>,
+    /// Start of the last departure before this process of the node, and when it was restored.
+    restored_departure: Option<(Timestamp, Instant)>,
 }
 
 #[derive(Debug)]
@@ -94,6 +96,7 @@
         if self.has_departed(&header.instance, header.started) {
             return AnnouncementOutcome::Ignored("upstream has departed");
         }
+        let is_before_departure = self.is_before_restored_departure(header.started, now);
         match &mut self.current {
             Some(current)
                 if current.instance == header.instance && current.started == header.started =>
@@ -121,6 +124,7 @@
             {
                 AnnouncementOutcome::Ignored("a later start is known")
             }
+            _ if is_before_departure => AnnouncementOutcome::Ignored("a later start has departed"),
             _ => {
                 self.current = Some(Current {
                     instance: header.instance.clone(),
@@ -148,6 +152,13 @@
         }
     }
 
+    /// Restores the last departure that an earlier process of the node recorded. That process may have
+    /// known departures of earlier starts, so late announcements of these are ignored for some seconds.
+    pub fn restore_departure(&mut self, instance: &str, started: Timestamp, now: Instant) {
+        self.record_departure(instance, Some(started), started);
+        self.restored_departure = Some((started, now));
+    }
+
     /// Whether this start is the current one and does not drain.
     #[must_use]
     pub fn is_current(&self, instance: &str, started: Timestamp) -> bool {
@@ -187,6 +198,13 @@
         current
     }
 
+    fn is_before_restored_departure(&self, started: Timestamp, now: Instant) -> bool {
+        self.restored_departure
+            .is_some_and(|(departed, restored_at)| {
+                started < departed && now.saturating_duration_since(restored_at) < SILENCE_TIMEOUT
+            })
+    }
+
     fn has_departed(&self, instance: &str, started: Timestamp) -> bool {
         let mut departed = self.departed.iter();
         departed.any(|(known, at)| known == instance && started <= *at)
--- a/crates/route/tests/succession.rs
+++ b/crates/route/tests/succession.rs
@@ -136,6 +136,34 @@
     );
 }
 
+/// Guards against a start that departed before the last departure, which alone is stored, and becomes
+/// current in a new process of the node through a late announcement.
+#[test]
+fn starts_before_a_restored_departure_are_ignored_for_some_seconds() {
+    let now = Instant::now();
+    let mut tracker = StartTracker::default();
+    tracker.restore_departure("b", Timestamp::new(20), now);
+    for (instance, started) in [("a", 10), ("b", 20)] {
+        let outcome = tracker.record_announcement(&header(instance, started, 9, Stage::Ready), now);
+        assert!(
+            matches!(outcome, AnnouncementOutcome::Ignored(_)),
+            "{instance}"
+        );
+    }
+    assert_eq!(
+        tracker.record_announcement(&header("c", 30, 1, Stage::Ready), now),
+        AnnouncementOutcome::New(Stage::Ready)
+    );
+    // The clock of `b` may have been ahead.
+    let mut tracker = StartTracker::default();
+    tracker.restore_departure("b", Timestamp::new(20), now);
+    let later = now + Duration::from_secs(6);
+    assert_eq!(
+        tracker.record_announcement(&header("a", 10, 9, Stage::Ready), later),
+        AnnouncementOutcome::New(Stage::Ready)
+    );
+}
+
 /// Guards against an upstream that is ignored for good after another sender has announced it with
 /// the largest sequence number.
 #[test]
--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -105,15 +105,15 @@
         .map_err(Refusal::Invalid)?;
     let deadline = Deadline::after(ACKNOWLEDGEMENT_TIMEOUT);
     let is_draining = header.stage == Stage::Draining;
-    if !node.directory.is_ready() {
+    if !node.is_restored() {
         if is_draining {
             // The stored entry of an earlier process of this node may name this process of the
             // upstream as the one that receives calls.
             node.record_departure(&header.instance, Some(header.started));
         }
-        // The directory holds departures recorded by an earlier process of this node; a late
-        // announcement must not make a process of the upstream that has left receive calls again.
-        if !node.directory.wait_ready(deadline).await {
+        // An earlier process of this node may have stored a departure; a late announcement must not make
+        // a process of the upstream that has left receive calls again.
+        if !node.wait_restored(deadline).await {
             log::info!(
                 instance:% = header.instance;
                 "announcement ignored: directory is not loaded yet"
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -6,14 +6,14 @@
 use arc_swap::ArcSwap;
 use bundle::Bundle;
 use call::{Accounts, Announcement, Caller, MeshView, Target, TargetOptions};
-use directory::{ConfigWatcher, Directory, Relay, Upstream, UpstreamStart, WatchOptions};
+use directory::{ConfigWatcher, Directory, Entry, Relay, Upstream, UpstreamStart, WatchOptions};
 use front::Server;
 use member::{Record, State};
 use route::{AnnouncementHeader, AnnouncementOutcome, Locality, Stage, StartTracker};
 use settings::Settings;
 use tokio::sync::watch;
-use tokio::time::Instant;
-use types::{Incarnation, Timestamp, Version, id, size};
+use tokio::time::{Instant, timeout_at};
+use types::{Deadline, Incarnation, Timestamp, Version, id, size};
 use wire::Stream;
 
 use crate::metrics::Snapshot;
@@ -70,6 +70,8 @@
     pub caller: Caller,
     /// Decides which process of the upstream receives calls.
     start_tracker: Mutex<StartTracker>,
+    /// Whether what an earlier process of this node stored about its upstream is in use.
+    restored: watch::Sender<bool>,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Settings; reloaded while the node runs.
@@ -143,6 +145,7 @@
             target,
             caller,
             start_tracker: Mutex::default(),
+            restored: watch::Sender::new(false),
             metrics: Metrics::new()?,
             settings,
             draining: AtomicBool::new(false),
@@ -247,15 +250,35 @@
     /// upstream that has left, and the one that received calls. Waits until the store has been
     /// read.
     pub async fn restore(&self) {
-        let Some(previous_entry) = self.directory.previous_entry().await else {
-            return;
-        };
+        if let Some(previous_entry) = self.directory.previous_entry().await {
+            self.restore_entry(previous_entry);
+        }
+        self.restored.send_replace(true);
+    }
+
+    /// Whether [`Node::restore`] has ended.
+    pub(crate) fn is_restored(&self) -> bool {
+        *self.restored.borrow()
+    }
+
+    /// Waits until [`Node::restore`] has ended; returns false if the deadline passes first.
+    pub(crate) async fn wait_restored(&self, deadline: Deadline) -> bool {
+        let mut restored = self.restored.subscribe();
+        let waiting = restored.wait_for(|is_restored| *is_restored);
+        timeout_at(deadline.instant(), waiting).await.is_ok()
+    }
+
+    fn restore_entry(&self, previous_entry: Entry) {
         if let Some(departed) = previous_entry.departed {
             log::info!(
                 instance:% = departed.instance;
                 "departure restored from the entry of an earlier process"
             );
-            self.record_departure(&departed.instance, Some(departed.started));
+            self.lock_start_tracker().restore_departure(
+                &departed.instance,
+                departed.started,
+                Instant::now(),
+            );
         }
         if let (Some(current), Some(service)) =
             (previous_entry.current, previous_entry.record.service)
@@ -270,10 +293,8 @@
         };
         let mut start_tracker = self.lock_start_tracker();
         start_tracker.restore(&process.instance, process.started, Instant::now());
-        // An announcement may have arrived first.
-        if self.target.load().is_some()
-            || !start_tracker.is_current(&process.instance, process.started)
-        {
+        // It may have departed since.
+        if !start_tracker.is_current(&process.instance, process.started) {
             return;
         }
         log::info!(
--- a/crates/sidecar/tests/departures.rs
+++ b/crates/sidecar/tests/departures.rs
@@ -74,6 +74,21 @@
         }
     }
 
+    /// Delivers a late heartbeat of each of the first `count` upstreams at the same time.
+    async fn announce_late(&self, count: usize) {
+        let nodes = self.processes[..count]
+            .iter()
+            .zip(&self.upstreams)
+            .enumerate();
+        let heartbeats = nodes.map(|(index, (process, upstream))| async move {
+            let instance = format!("i-{index}");
+            upstream
+                .send_heartbeat(&process.node, &instance, 5, "ready")
+                .await;
+        });
+        futures::future::join_all(heartbeats).await;
+    }
+
     /// Waits until all nodes know each other.
     async fn wait_known(&self) {
         let known = format!("dandelionseam_nodes {NODES}");
@@ -90,18 +105,23 @@
         }
     }
 
-    /// Sends requests through all nodes but the first, and returns how many the first upstream gets.
-    async fn count_requests(&self, period: Duration) -> usize {
-        let counter = &self.upstreams[0].request_count;
-        let before = counter.load(Ordering::SeqCst);
+    /// Sends requests through all nodes but the first `count`, and returns how many the upstreams of
+    /// these get.
+    async fn count_requests(&self, count: usize, period: Duration) -> usize {
+        let total = || {
+            let upstreams = self.upstreams[..count].iter();
+            let counts = upstreams.map(|upstream| upstream.request_count.load(Ordering::SeqCst));
+            counts.sum::<usize>()
+        };
+        let before = total();
         let end = Instant::now() + period;
         while Instant::now() < end {
-            for process in &self.processes[1..] {
+            for process in &self.processes[count..] {
                 send(process.node.callers, "GET /status/1").await;
             }
             sleep(Duration::from_millis(20)).await;
         }
-        counter.load(Ordering::SeqCst) - before
+        total() - before
     }
 }
 
@@ -137,7 +157,7 @@
     is_late_heartbeat: bool,
 ) -> usize {
     let mut fleet = Fleet::start().await;
-    let served = fleet.count_requests(Duration::from_millis(300)).await;
+    let served = fleet.count_requests(1, Duration::from_millis(300)).await;
     assert!(served > 0, "the upstream is not in use");
     outage.set(&fleet.store, true);
     let announcements = fleet.processes[0].node.announcements;
@@ -157,5 +177,41 @@
     }
     sleep(STABLE_WINDOW).await;
     fleet.announce(1, 6).await;
-    fleet.count_requests(Duration::from_secs(1)).await
+    fleet.count_requests(1, Duration::from_secs(1)).await
+}
+
+/// Guards against a heartbeat that was held up and is the first message to reach a new process: it made
+/// a departed upstream current before the stored departure was restored. Which of the two comes first
+/// is decided by the scheduler, so several nodes are killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_heartbeats_do_not_undo_stored_departures() {
+    const DEPARTED: usize = NODES - 1;
+    let mut fleets = JoinSet::new();
+    for _ in 0..3 {
+        fleets.spawn(async {
+            let mut fleet = Fleet::start().await;
+            for (index, process) in fleet.processes[..DEPARTED].iter_mut().enumerate() {
+                let leave = format!("POST /leave/i-{index}/7");
+                let acknowledgement = send(process.node.announcements, &leave).await;
+                assert_eq!(status(&acknowledgement), "200", "{acknowledgement}");
+                process.kill().await;
+            }
+            fleet.store.set_down(true);
+            for process in &mut fleet.processes[..DEPARTED] {
+                process.restart().await;
+            }
+            let late_heartbeats = fleet.announce_late(DEPARTED);
+            let recovery = async {
+                sleep(Duration::from_millis(300)).await;
+                fleet.store.set_down(false);
+            };
+            tokio::join!(late_heartbeats, recovery);
+            sleep(STABLE_WINDOW).await;
+            fleet.announce(DEPARTED, 6).await;
+            fleet.count_requests(DEPARTED, Duration::from_secs(1)).await
+        });
+    }
+    for requests in fleets.join_all().await {
+        assert_eq!(requests, 0);
+    }
 }
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -170,9 +170,14 @@
 
     async fn run(path: PathBuf, store: Memory) {
         let text = std::fs::read_to_string(&path).unwrap();
-        let settings = Settings::read("node.ini", &text).unwrap();
-        let result = sidecar::run(path, settings, build_adapter(&store)).await;
-        result.unwrap();
+        loop {
+            let settings = Settings::read("node.ini", &text).unwrap();
+            match sidecar::run(path.clone(), settings, build_adapter(&store)).await {
+                // The tasks of a killed process may hold their ports for a moment.
+                Err(sidecar::Error::Listen { .. }) => sleep(Duration::from_millis(10)).await,
+                result => return result.unwrap(),
+            }
+        }
     }
 
     /// Waits until the process of the node listens, or does not any more.
