--- a/crates/directory/src/source.rs
+++ b/crates/directory/src/source.rs
@@ -35,11 +35,7 @@
 /// which shows that the store serves this node.
 const FIRST_WATCH_WAIT: Duration = Duration::from_millis(1);
 
-/// Time for which a watch waits. A connection that has gone silent is noticed soon after it, if no
-/// other call shows it earlier.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
-
-/// Time for which a watch waits where other nodes depend on this one.
+/// Longest time for which a watch waits where other nodes depend on this one.
 const READER_WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// Update of the items below a prefix.
@@ -57,6 +53,9 @@
     /// Minimum time between the starts of two calls, so that a burst of changes costs only one
     /// call.
     pub min_interval: Duration,
+    /// Longest time for which a watch waits. A change whose answer is lost is noticed soon after it, when
+    /// the watch times out.
+    pub max_wait: Duration,
     /// Time between the first listing and the next call, unless other nodes depend on this one. After
     /// a common start of all nodes, most of them have found nodes to follow by then and make no
     /// further call.
@@ -269,10 +268,11 @@
     async fn watch(&self, reached: Revision) -> Result<(Option<Update>, Revision), Error> {
         // Parents may have delivered later changes.
         let after = reached.max(self.table.revision().unwrap_or_default());
+        let max_wait = self.table.options.max_wait;
         let wait = match (self.shared.has_followers(), self.is_first_watch) {
             (true, true) => FIRST_WATCH_WAIT,
-            (true, false) => READER_WATCH_WAIT,
-            (false, _) => WATCH_WAIT,
+            (true, false) => max_wait.min(READER_WATCH_WAIT),
+            (false, _) => max_wait,
         };
         let request = WatchRequest {
             prefix: self.table.prefix.clone(),
--- a/crates/directory/tests/relay.rs
+++ b/crates/directory/tests/relay.rs
@@ -24,6 +24,7 @@
 
 const OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(300),
+    max_wait: Duration::from_secs(2),
     // Longer than a version may take: only a reader that does not wait for it is in time.
     first_watch_delay: Duration::from_millis(3500),
     relist_after_start: false,
@@ -253,6 +254,27 @@
     .await;
 }
 
+/// Guards against a version that a whole fleet learns of late, because its answer was lost at all
+/// readers in a silence of the store that no other call has noticed.
+#[tokio::test]
+async fn versions_arrive_in_time_after_a_short_silence() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    for (version, silence_ms) in [(2, 200), (3, 700)] {
+        store.set_silent(true);
+        store.set("config", config_text(version).as_bytes());
+        sleep(Duration::from_millis(silence_ms)).await;
+        store.set_silent(false);
+        let is_in_force = || {
+            let mut nodes = nodes.iter();
+            nodes.all(|node| node.config.current().as_deref() == Some(&version))
+        };
+        // The time after a disruption from which the bounds hold again.
+        let what = format!("version {version}");
+        wait(Duration::from_secs(4), &what, is_in_force).await;
+    }
+}
+
 /// Guards against a node that is cut off from the store and no longer follows, although other nodes
 /// can reach it.
 #[tokio::test]
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -26,4 +26,4 @@
 pub use daemon::run;
 pub use error::Error;
 pub use metrics::Metrics;
-pub use node::Node;
+pub use node::{CONFIGURATION_WATCH_OPTIONS, NODE_WATCH_OPTIONS, Node};
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -19,10 +19,13 @@
 use crate::metrics::Snapshot;
 use crate::{Adapter, Configuration, Error, Metrics};
 
-/// Shortest time between two reads of the configuration: half of the time within which a new
+/// How the configuration is followed. The shortest time between two reads is half of the time within which a new
 /// version must be in force.
-const CONFIGURATION_WATCH_OPTIONS: WatchOptions = WatchOptions {
+pub const CONFIGURATION_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(1200),
+    // With the time-out of a lost answer and a retry, a version is in force 4 s after a silence of the
+    // store, when the node counts as in touch again.
+    max_wait: Duration::from_secs(2),
     // Long enough to know the nodes to follow, short enough to have the newest version 4 s after the
     // start, when the platform expects it.
     first_watch_delay: Duration::from_millis(2400),
@@ -31,10 +34,11 @@
     list_stale_first: false,
 };
 
-/// Shortest time between two watches of the node entries. The node beside a target that has left in
+/// How the entries of the nodes are followed. Changes may be some seconds late: the node beside a target that has left in
 /// the meantime refuses its calls, which are then sent to another target.
-const NODE_WATCH_OPTIONS: WatchOptions = WatchOptions {
+pub const NODE_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_secs(3),
+    max_wait: Duration::from_secs(3),
     first_watch_delay: Duration::from_secs(2),
     relist_after_start: true,
     reread_on_change: false,
