What precedes the abort of a response is sent

Callers: when the body of an answer failed right after its head or a chunk, they saw the connection end without any status line, and could not tell this from a node that had not read the request.

Cause: hyper drops what it has not flushed when the body returns an error, and it flushes only when the body is pending.

Change: an error of the body is returned one poll later, after a pending one.

--- a/crates/front/src/body.rs
+++ b/crates/front/src/body.rs
@@ -46,6 +46,8 @@
 /// Body that owns a guard, which is dropped with it.
 pub(crate) struct GuardedBody<G> {
     body: Body,
+    /// Error of the body, until the bytes before it have been flushed.
+    error: Option<Aborted>,
     _guard: G,
 }
 
@@ -53,6 +55,7 @@
     pub(crate) const fn new(body: Body, guard: G) -> Self {
         Self {
             body,
+            error: None,
             _guard: guard,
         }
     }
@@ -69,7 +72,19 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        if let Some(error) = self.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(Some(Err(error))) => {
+                // The connection drops what it has not flushed when the body fails, the head included.
+                // It flushes when the body is pending.
+                self.error = Some(error);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled,
+        }
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/front/tests/connections.rs
+++ b/crates/front/tests/connections.rs
@@ -84,6 +84,23 @@
     timeout(TIMEOUT, server.wait_idle()).await.unwrap();
 }
 
+/// Guards against a response whose head and first chunk are dropped when its body fails right after
+/// them, so that the caller does not even get a status line.
+#[tokio::test]
+async fn what_precedes_an_abort_is_sent() {
+    let (_server, address) = start_server(TIMEOUT, |_| {
+        let chunks = [Ok(Bytes::from("first")), Err(Aborted("cut".to_owned()))];
+        ready(Ok(Response::new(stream(streams::iter(chunks)))))
+    });
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    socket.write_all(REQUEST).await.unwrap();
+    let mut response = String::new();
+    let reading = timeout(TIMEOUT, socket.read_to_string(&mut response)).await;
+    reading.unwrap().unwrap();
+    assert!(response.starts_with("HTTP/1.1 200 OK\r\n"), "{response:?}");
+    assert!(response.ends_with("5\r\nfirst\r\n"), "{response:?}");
+}
+
 /// Guards against a handler that keeps running after its caller has disconnected.
 #[tokio::test]
 async fn handler_is_dropped_when_the_caller_disconnects() {
