Requests that run until the end of a planned stop are answered

Cause: the stop waits for running requests until its end, and the process then ended with those that were left.

--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
-use types::{Deadline, Outcome, id};
+use types::{Deadline, Fault, Outcome, id};
 
 use crate::Node;
 
@@ -50,8 +50,18 @@
         return Ok(build_refusal(&node, &failure));
     }
     let body = stream_request_body(body, max_body_bytes);
-    let call = build_call(&node, id, metadata.timeout, head, body);
-    let answer = node.caller.call(call).await;
+    let call = build_call(&node, id.clone(), metadata.timeout, head, body);
+    let answer = tokio::select! {
+        answer = node.caller.call(call) => answer,
+        () = node.wait_cut_off() => {
+            log::warn!(request:% = id; "request cut off: the node stops");
+            let failure =
+                Failure::unknown(Fault::Mesh, StatusCode::GATEWAY_TIMEOUT, "node stops");
+            node.metrics
+                .record_outcome("unknown", &failure.fault, failure.status);
+            return Ok(build_refusal(&node, &failure));
+        }
+    };
     node.metrics.record_answer(&answer, start.elapsed());
     Ok(build_response(&node, answer))
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -12,7 +12,7 @@
 use route::{AnnouncementHeader, AnnouncementOutcome, Locality, Stage, StartTracker};
 use settings::Settings;
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use types::{Deadline, Incarnation, Timestamp, Version, id, size};
 use wire::Stream;
 
@@ -80,7 +80,8 @@
     pub metrics: Metrics,
     /// Settings; reloaded while the node runs.
     pub settings: Arc<ArcSwap<Settings>>,
-    draining: AtomicBool,
+    /// Time at which a stopping node answers the requests that are still running; `None` before.
+    cut_off_at: watch::Sender<Option<Deadline>>,
     closed: AtomicBool,
 }
 
@@ -152,7 +153,7 @@
             restored: watch::Sender::new(false),
             metrics: Metrics::new()?,
             settings,
-            draining: AtomicBool::new(false),
+            cut_off_at: watch::Sender::new(None),
             closed: AtomicBool::new(false),
         }))
     }
@@ -193,17 +194,32 @@
     /// Whether a graceful shutdown has begun.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        self.cut_off_at.borrow().is_some()
     }
 
     /// Begins a graceful shutdown: the node reports that it is not ready and publishes that it
-    /// drains.
-    pub fn begin_drain(&self) {
-        self.draining.store(true, Ordering::Release);
+    /// drains. Requests of callers that are still running at `cut_off_at` are answered as failed.
+    pub fn begin_drain(&self, cut_off_at: Deadline) {
+        self.cut_off_at.send_replace(Some(cut_off_at));
         self.directory.mark_left();
         self.relay.close_children();
     }
 
+    /// Waits until requests that are still running are answered as failed, which happens only when the
+    /// node stops.
+    pub(crate) async fn wait_cut_off(&self) {
+        let mut cut_off_at = self.cut_off_at.subscribe();
+        // The sender lives as long as `self`, so the wait cannot fail.
+        let deadline = match cut_off_at.wait_for(Option::is_some).await {
+            Ok(deadline) => *deadline,
+            Err(_) => None,
+        };
+        match deadline {
+            Some(deadline) => sleep_until(deadline.instant()).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Whether the node refuses requests of callers.
     #[must_use]
     pub fn is_closed(&self) -> bool {
--- a/crates/sidecar/tests/answers.rs
+++ b/crates/sidecar/tests/answers.rs
@@ -194,6 +194,6 @@
             assert!(socket.read_buf(&mut response).await.unwrap() > 0);
         }
     };
-    // The route's time is 2 s.
+    // The caller waits for 3 s.
     timeout(Duration::from_secs(1), reading).await.unwrap();
 }
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -24,12 +24,19 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::runtime::Runtime;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 use types::{Timestamp, Version, size};
 
 /// Upper bound for operations that take a few messages, with room for a busy machine.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which callers wait.
+pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time from the signal to the kill of a process, in seconds.
+pub const GRACE_S: u64 = 4;
+
 const CONFIG: &str = "
 [service]
 name = renewals
@@ -116,7 +123,7 @@
         decode_configuration: Arc::new(decode),
         read_request: Box::new(|_| RequestMetadata {
             id: None,
-            timeout: Some(Duration::from_secs(2)),
+            timeout: Some(REQUEST_TIMEOUT),
         }),
         set_caller_service: Box::new(|service, headers| {
             headers.insert("caller-service", service.parse().unwrap());
@@ -131,12 +138,13 @@
 }
 
 /// Ports of a running node.
+#[derive(Clone)]
 pub struct Node {
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub announcements: SocketAddr,
     pub metrics: SocketAddr,
-    settings: tempfile::NamedTempFile,
+    settings: Arc<tempfile::NamedTempFile>,
 }
 
 /// First of the ports of a node. Below the range from which the system takes the ports of clients.
@@ -158,9 +166,9 @@
         let text = format!(
             "[node]\nid = {name}\nregion = north\ndomain = north-a\n[listen]\ncallers = {callers}\n\
              peers = {peers}\nready = {ready}\nannouncements = {announcements}\nmetrics = {metrics}\n\
-             [upstream]\nservice = {name}-service\n"
+             [upstream]\nservice = {name}-service\n[stop]\ngrace_s = {GRACE_S}\n"
         );
-        let settings = tempfile::NamedTempFile::new().unwrap();
+        let settings = Arc::new(tempfile::NamedTempFile::new().unwrap());
         std::fs::write(settings.path(), &text).unwrap();
         Self {
             callers,
@@ -184,7 +192,7 @@
     }
 
     /// Waits until the process of the node listens, or does not any more.
-    async fn wait_listening(&self, expected: bool) {
+    pub async fn wait_listening(&self, expected: bool) {
         let connecting = async {
             while TcpStream::connect(self.announcements).await.is_ok() != expected {
                 sleep(Duration::from_millis(10)).await;
@@ -201,11 +209,30 @@
     node
 }
 
+/// Starts a node beside an upstream that handles no signals, and serves other nodes.
+pub fn start_target(store: &Memory, name: &str, upstream: SocketAddr) -> wire::Listener {
+    let node = Node::prepare(name);
+    let text = std::fs::read_to_string(node.settings.path()).unwrap();
+    let settings = Settings::read("node.ini", &text).unwrap();
+    let peers = front::bind(settings.listen.peers.parse().unwrap()).unwrap();
+    let node = sidecar::Node::start(settings, build_adapter(store)).unwrap();
+    let (slots, connections) = (size::Slots::new(50), size::Connections::new(100));
+    let service = "renewals".parse().unwrap();
+    let mut announcement = Announcement::new(service, upstream, slots, connections);
+    "i-1".clone_into(&mut announcement.instance);
+    node.target.announce(announcement);
+    wire::Listener::start(peers, 100, move |_, stream| {
+        let node = Arc::clone(&node);
+        async move { node.target.serve(stream).await }
+    })
+}
+
 /// Node in a runtime of its own, so that its process can be killed and started again.
 pub struct Process {
     pub node: Node,
     store: Memory,
     runtime: Option<Runtime>,
+    running: Option<JoinHandle<()>>,
 }
 
 impl Process {
@@ -214,6 +241,7 @@
             node: Node::prepare(name),
             store: store.clone(),
             runtime: None,
+            running: None,
         };
         process.restart().await;
         process
@@ -225,6 +253,12 @@
         self.node.wait_listening(false).await;
     }
 
+    /// Waits until the process ends by itself after a signal.
+    pub async fn wait_ended(&mut self) {
+        self.running.take().unwrap().await.unwrap();
+        self.kill().await;
+    }
+
     /// Starts a process of the node after [`Process::kill`].
     pub async fn restart(&mut self) {
         let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -233,7 +267,7 @@
             .build()
             .unwrap();
         let path = self.node.settings.path().to_owned();
-        runtime.spawn(Node::run(path, self.store.clone()));
+        self.running = Some(runtime.spawn(Node::run(path, self.store.clone())));
         self.runtime = Some(runtime);
         self.node.wait_listening(true).await;
     }
