--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -12,13 +12,14 @@
 
 use crate::active_calls::ActiveCall;
 use crate::connection::Connection;
+use crate::headers::remove_hop_headers;
 use crate::idempotency_store::{Claim, ClaimResult, IdempotencyStore, MAX_RECORDED_ANSWER_BYTES};
 use crate::limiter::Permit;
 use crate::local_upstream::LocalUpstream;
 use crate::payload::Payload;
 use crate::peer::body_deadline;
 use crate::routed_call::RoutedCall;
-use crate::upstream::{self, Exchange, SendError};
+use crate::upstream::{Exchange, SendError};
 use crate::upstream_answer::UpstreamAnswer;
 use crate::{BodyError, Failure, message};
 
@@ -172,7 +173,7 @@
             connection,
         } = exchange;
         let status = response.status();
-        let headers = upstream::remove_hop_headers(response.headers().clone());
+        let headers = remove_hop_headers(response.headers().clone());
         let load = Some(self.local.limiter.load());
         let upstream_time = self.upstream_time;
         let body = UpstreamBody {
@@ -276,7 +277,7 @@
             idempotency,
             claim,
             status: response.status(),
-            headers: upstream::remove_hop_headers(response.headers().clone()),
+            headers: remove_hop_headers(response.headers().clone()),
             chunks: Some(Vec::new()),
             length: 0,
         }
--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{self, HeaderName, HeaderValue};
+use http::header::{self, HeaderValue};
 use http::{HeaderMap, Request, Response, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -14,6 +14,7 @@
 
 use crate::connection::{self, Body, Connection};
 use crate::header_codec::{AnswerKind, HeaderCodec, RequestContext};
+use crate::headers::remove_hop_headers;
 use crate::payload::Payload;
 use crate::peer::HOP_MARGIN;
 use crate::routed_call::RoutedCall;
@@ -28,20 +29,6 @@
 /// refusal is known from its head.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Headers that apply to one connection only or that the node sets itself. An `expect` is not
-/// forwarded because the node has satisfied it by reading the body.
-const HOP_HEADERS: [HeaderName; 9] = [
-    header::CONNECTION,
-    header::EXPECT,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// HTTP client of one upstream.
 pub(crate) struct Upstream {
     address: SocketAddr,
@@ -253,6 +240,10 @@
             if length > 0 || headers.contains_key(header::CONTENT_LENGTH) {
                 headers.insert(header::CONTENT_LENGTH, length.into());
             }
+        } else if !headers.contains_key(header::CONTENT_LENGTH) {
+            // Without a framing header, hyper sends no body with some methods, such as GET.
+            let chunked = HeaderValue::from_static("chunked");
+            headers.insert(header::TRANSFER_ENCODING, chunked);
         }
         if !headers.contains_key(header::HOST)
             && let Ok(host) = HeaderValue::from_str(&self.address.to_string())
@@ -294,18 +285,3 @@
         Some(_) | None => connection::stream(payload.stream()),
     }
 }
-
-/// Removes the headers that apply to one connection only, including those named by `connection`.
-pub(crate) fn remove_hop_headers(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP_HEADERS.iter().chain(&named) {
-        headers.remove(name);
-    }
-    headers
-}
