Callers cannot remove headers that the node sets

Callers: none seen; an observation of the review.

Cause: the node set the header before it removed those of the caller's connection.

Change: the other way round; the host, which selects the route, is kept even when it is named.

Test: sidecar/requests::callers_cannot_remove_the_headers_that_the_node_sets failed before ("0 bytes from None").

--- a/crates/sidecar/src/callers.rs
+++ b/crates/sidecar/src/callers.rs
@@ -94,7 +94,8 @@
         .host()
         .or_else(|| host_header.and_then(|value| value.to_str().ok()));
     strip_port(host.unwrap_or_default()).clone_into(&mut call.host);
-    call.headers = head.headers;
+    // Before the node sets its own, which the caller may have named as headers of its connection.
+    call.headers = call::remove_hop_headers(head.headers);
     let settings = node.settings.load();
     (node.adapter.set_caller_service)(&settings.upstream.service, &mut call.headers);
     if let Some(timeout) = timeout {
--- a/crates/sidecar/tests/requests.rs
+++ b/crates/sidecar/tests/requests.rs
@@ -13,7 +13,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use standin::Memory;
-use support::{LARGE_BODIES_VERSION, Node, TIMEOUT, send, start_node, status, wait_status};
+use support::{
+    LARGE_BODIES_VERSION, Node, TIMEOUT, send, start_node, start_target, status, wait_status,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -97,3 +99,25 @@
         }
     }
 }
+
+/// Guards against a request that runs without the name of the calling service, because the caller has
+/// named this header as one of its connection.
+#[tokio::test]
+async fn callers_cannot_remove_the_headers_that_the_node_sets() {
+    let store = Memory::default();
+    store.set("config", b"3");
+    let upstream = start_upstream();
+    let node = start_node(&store, "a").await;
+    wait_status(node.ready, "GET /", "200").await;
+    let _target = start_target(&store, "b", upstream);
+    wait_status(node.callers, "GET /status/1", "200").await;
+    for named in ["caller-service", "Caller-Service, close, host", "close"] {
+        let request = format!(
+            "GET /status/1 HTTP/1.1\r\nhost: a.example\r\ncaller-service: other\r\n\
+             connection: close\r\nconnection: {named}\r\n\r\n"
+        );
+        let response = exchange(&node, request.as_bytes()).await;
+        let expected = "0 bytes from Some(\"a-service\")";
+        assert!(response.ends_with(expected), "{named}: {response}");
+    }
+}
