A delivered departure does not replace a later one

Callers: none seen; found while reading the diff. A departure that a keeper delivers late replaced a later departure in the entry of its node, which holds the last one only. After a kill, a late heartbeat could then make the later target current.

Change: a delivered departure binds the process, but is recorded only when no later start is known.

--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -199,10 +199,10 @@
     }
 
     /// Serves a stream on which another node hands over a departure. `apply` is called with one that
-    /// concerns this node.
+    /// concerns this node, and returns whether it has to be recorded.
     pub async fn serve_handoff<A>(&self, stream: Stream, apply: A)
     where
-        A: FnOnce(UpstreamStart),
+        A: FnOnce(&UpstreamStart) -> bool,
     {
         handoff::serve(&self.shared, stream, apply).await;
     }
--- a/crates/directory/src/handoff.rs
+++ b/crates/directory/src/handoff.rs
@@ -190,10 +190,10 @@
 }
 
 /// Serves a stream on which another node deposits or delivers a departure. `apply` is called with a
-/// departure that concerns this node.
+/// departure that concerns this node, and returns whether it has to be recorded.
 pub(crate) async fn serve<A>(shared: &Arc<Shared>, stream: Stream, apply: A)
 where
-    A: FnOnce(UpstreamStart),
+    A: FnOnce(&UpstreamStart) -> bool,
 {
     let Stream {
         mut sender,
@@ -288,14 +288,15 @@
     apply: A,
 ) -> Result<(), Failure>
 where
-    A: FnOnce(UpstreamStart),
+    A: FnOnce(&UpstreamStart) -> bool,
 {
     log::info!(
         instance:% = departed.instance;
         "departure received that an earlier process has handed over"
     );
-    apply(departed.clone());
-    shared.set_departed(departed);
+    if apply(&departed) {
+        shared.set_departed(departed);
+    }
     let sequence = shared.sequence();
     send_custody(sender, false).await?;
     tokio::select! {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -19,8 +19,8 @@
 use crate::metrics::Snapshot;
 use crate::{Adapter, Configuration, Error, Metrics};
 
-/// How the configuration is followed. The shortest time between two reads is half of the time within which a new
-/// version must be in force.
+/// How the configuration is followed. The shortest time between two reads is half of the time within
+/// which a new version must be in force.
 pub const CONFIGURATION_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_millis(1200),
     // With the time-out of a lost answer and a retry, a version is in force 4 s after a silence of the
@@ -34,8 +34,8 @@
     list_stale_first: false,
 };
 
-/// How the entries of the nodes are followed. Changes may be some seconds late: the node beside a target that has left in
-/// the meantime refuses its calls, which are then sent to another target.
+/// How the entries of the nodes are followed. Changes may be some seconds late: the node beside a
+/// target that has left in the meantime refuses its calls, which are then sent to another target.
 pub const NODE_WATCH_OPTIONS: WatchOptions = WatchOptions {
     min_interval: Duration::from_secs(3),
     max_wait: Duration::from_secs(3),
@@ -260,8 +260,11 @@
 
     /// Serves a stream on which another node hands over a departure.
     pub(crate) async fn serve_handoff(&self, stream: Stream) {
-        let apply = |departed: UpstreamStart| {
+        let apply = |departed: &UpstreamStart| {
+            // The entry holds the last departure only.
+            let is_superseded = self.is_upstream_superseded(departed.started);
             self.record_departure(&departed.instance, Some(departed.started));
+            !is_superseded
         };
         self.directory.serve_handoff(stream, apply).await;
     }
