--- a/review/harness-2/large_configuration.rs
+++ b/review/harness-2/large_configuration.rs
@@ -123,7 +123,7 @@
         for node in &nodes {
             node.wait_end(Duration::from_secs(5));
         }
-        thread::sleep(Duration::from_millis(1200));
+        thread::sleep(Duration::from_millis(500));
         for node in &nodes {
             node.start(false);
         }
