Log and report the rate limit that a target declares

Change: the header codec reads a notice from each answer and refusal of the target. The node beside it logs each change of the limit and has it in the gauge dandelionseam_target_rate_limit. Calls are admitted as before.

--- a/crates/call/src/header_codec.rs
+++ b/crates/call/src/header_codec.rs
@@ -3,10 +3,14 @@
 use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, StatusCode};
 use types::id;
+use types::rate::PerSecond;
 
 /// Header with which an upstream marks a 503 as refused before it did any work.
 const SHED_HEADER: &str = "shed";
 
+/// Header with the number of requests a second that an upstream takes from all nodes together.
+const RATE_LIMIT_HEADER: &str = "rate-limit";
+
 /// Values of a call that may be sent to the upstream as headers.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestContext<'a> {
@@ -41,8 +45,16 @@
     WrongRequest,
 }
 
+/// What an upstream tells about itself in the head of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Requests that it takes from all nodes together; `None` without a limit.
+    pub rate_limit: Option<PerSecond>,
+}
+
 type Encode = dyn Fn(RequestContext<'_>, &mut HeaderMap) + Send + Sync;
 type Decode = dyn Fn(RequestContext<'_>, StatusCode, &HeaderMap) -> AnswerKind + Send + Sync;
+type ReadNotice = dyn Fn(&HeaderMap) -> Notice + Send + Sync;
 
 /// Headers exchanged between a node and its upstream: those added to requests and those that
 /// classify an answer.
@@ -51,6 +63,8 @@
     pub encode: Box<Encode>,
     /// Classifies an answer by its head.
     pub decode: Box<Decode>,
+    /// Reads the notice in an answer or a refusal of the upstream.
+    pub read_notice: Box<ReadNotice>,
 }
 
 impl Default for HeaderCodec {
@@ -59,6 +73,7 @@
         Self {
             encode: Box::new(encode),
             decode: Box::new(decode),
+            read_notice: Box::new(read_notice),
         }
     }
 }
@@ -90,3 +105,15 @@
         AnswerKind::Valid
     }
 }
+
+fn read_notice(headers: &HeaderMap) -> Notice {
+    Notice {
+        rate_limit: parse_rate_limit(headers.get(RATE_LIMIT_HEADER)),
+    }
+}
+
+/// Parses a rate in requests a second; `None` if it is missing or not a number.
+#[must_use]
+pub fn parse_rate_limit(value: Option<&HeaderValue>) -> Option<PerSecond> {
+    value?.to_str().ok()?.trim().parse().ok()
+}
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -78,7 +78,7 @@
 pub use body::Body;
 pub use caller::{Caller, HedgeCounts};
 pub use failure::{BodyError, Failure};
-pub use header_codec::{AnswerKind, HeaderCodec, RequestContext};
+pub use header_codec::{AnswerKind, HeaderCodec, Notice, RequestContext, parse_rate_limit};
 pub use headers::{content_length, remove_hop_headers};
 pub use mesh_view::MeshView;
 pub use request::{Guard, Request, RequestBody, new_request_id};
--- a/crates/call/src/local_upstream.rs
+++ b/crates/call/src/local_upstream.rs
@@ -7,7 +7,7 @@
 
 use crate::limiter::Limiter;
 use crate::upstream::Upstream;
-use crate::{Announcement, Failure};
+use crate::{Announcement, Failure, Notice};
 
 /// Time between two health probes, and the timeout of one.
 pub(crate) const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -107,6 +107,21 @@
         }
     }
 
+    /// Applies a notice in the answer to a request that was sent at `sent_at`.
+    pub(crate) fn record_notice(&self, notice: &Notice, sent_at: Instant) {
+        let mut is_changed = false;
+        self.limiter.update(|admission| {
+            is_changed = admission.record_rate_limit(notice.rate_limit, sent_at, Instant::now());
+        });
+        if is_changed {
+            let instance = self.lock().announcement.instance.clone();
+            match notice.rate_limit {
+                Some(limit) => log::info!(instance:%, limit:%; "upstream limits its requests"),
+                None => log::info!(instance:%; "upstream no longer limits its requests"),
+            }
+        }
+    }
+
     pub(crate) fn availability(&self) -> Availability {
         self.lock().health.availability(Instant::now())
     }
--- a/crates/call/src/run.rs
+++ b/crates/call/src/run.rs
@@ -105,7 +105,11 @@
         }
         self.permit.mark_sent();
         let sent_at = Instant::now();
-        let exchange = match self.local.upstream.send(&self.call, payload).await {
+        let result = self.local.upstream.send(&self.call, payload).await;
+        if let Ok(Exchange { notice, .. }) | Err(SendError::Rejected { notice, .. }) = &result {
+            self.local.record_notice(notice, sent_at);
+        }
+        let exchange = match result {
             Ok(exchange) => exchange,
             Err(error) => return Err(self.handle_error(error)),
         };
@@ -128,7 +132,9 @@
                 let reason = format!("connection to the upstream refused: {reason}");
                 Failure::service(&self.call.service, reason)
             }
-            SendError::Rejected { reason, overloaded } => {
+            SendError::Rejected {
+                reason, overloaded, ..
+            } => {
                 self.permit.mark_unsent();
                 if overloaded {
                     self.local
@@ -171,6 +177,7 @@
         let Exchange {
             response,
             connection,
+            ..
         } = exchange;
         let status = response.status();
         let headers = remove_hop_headers(response.headers().clone());
--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -13,7 +13,7 @@
 use types::{Deadline, size};
 
 use crate::connection::{self, Body, Connection};
-use crate::header_codec::{AnswerKind, HeaderCodec, RequestContext};
+use crate::header_codec::{AnswerKind, HeaderCodec, Notice, RequestContext};
 use crate::headers::remove_hop_headers;
 use crate::payload::Payload;
 use crate::peer::HOP_MARGIN;
@@ -44,6 +44,7 @@
 pub(crate) struct Exchange {
     pub(crate) response: Response<Incoming>,
     pub(crate) connection: Connection,
+    pub(crate) notice: Notice,
 }
 
 /// Reason why an upstream returned no answer.
@@ -57,6 +58,7 @@
     Rejected {
         reason: &'static str,
         overloaded: bool,
+        notice: Notice,
     },
     /// Another upstream process now has the address; it did not run the request.
     WrongInstance,
@@ -149,17 +151,23 @@
     ) -> Result<Exchange, SendError> {
         let context = self.request_context(call);
         connection.update_idle_limit(response.headers());
+        let notice = (self.header_codec.read_notice)(response.headers());
         match (self.header_codec.decode)(context, response.status(), response.headers()) {
             AnswerKind::Valid => Ok(Exchange {
                 response,
                 connection,
+                notice,
             }),
             AnswerKind::Refused { reason, overloaded } => {
                 let body = Limited::new(response.into_body(), MAX_REFUSAL_BODY_BYTES);
                 if let Ok(Ok(_)) = timeout(REFUSAL_BODY_TIMEOUT, body.collect()).await {
                     self.release(connection).await;
                 }
-                Err(SendError::Rejected { reason, overloaded })
+                Err(SendError::Rejected {
+                    reason,
+                    overloaded,
+                    notice,
+                })
             }
             AnswerKind::WrongInstance => Err(SendError::WrongInstance),
             AnswerKind::WrongRequest => Err(SendError::Interrupted(
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -2,10 +2,11 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use types::rate::PerSecond;
 use types::{Deadline, size};
 
 use crate::requirements::QueueKey;
-use crate::{Load, Requirements, concurrency_limit::ConcurrencyLimit};
+use crate::{Load, RateLimiter, Requirements, concurrency_limit::ConcurrencyLimit};
 
 /// Ratio of the slack of an objective, beyond the average service time, that a call may spend in
 /// the queue. Service times vary, so a call that waits longer would often miss its objective.
@@ -86,6 +87,7 @@
 #[derive(Debug)]
 pub struct Admission {
     limit: ConcurrencyLimit,
+    rate_limiter: RateLimiter,
     queue_limit: size::Queue,
     in_use: u32,
     /// Queued calls, the next one first.
@@ -106,6 +108,7 @@
     pub fn new(slots: size::Slots, queue_limit: size::Queue, now: Instant) -> Self {
         Self {
             limit: ConcurrencyLimit::new(slots, now),
+            rate_limiter: RateLimiter::new(now),
             queue_limit,
             in_use: 0,
             queue: VecDeque::new(),
@@ -294,6 +297,17 @@
         self.refusals.count(now);
     }
 
+    /// Records the rate limit in the answer to a request that was sent at `sent_at`; `None` if the
+    /// answer has none. Returns whether the limit has changed.
+    pub fn record_rate_limit(
+        &mut self,
+        limit: Option<PerSecond>,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        self.rate_limiter.record(limit, sent_at, now)
+    }
+
     /// Load that is reported to the nodes of callers.
     #[must_use]
     pub fn load(&self, now: Instant) -> Load {
@@ -306,6 +320,7 @@
             link_us: 0,
             shed: self.refusals.last_second(now),
             cold: self.limit.is_cold(now),
+            rate_limit: self.rate_limiter.limit(),
         }
     }
 
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -4,9 +4,10 @@
 use directory::{CallCount, CallKind};
 use http::StatusCode;
 use prometheus::{
-    Error, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Error, Gauge, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 use types::Fault;
+use types::rate::PerSecond;
 
 use crate::tenant_metrics::{TenantMetrics, TenantSnapshot};
 
@@ -33,6 +34,7 @@
     children: IntGauge,
     running: IntGauge,
     queued: IntGauge,
+    rate_limit: Gauge,
 }
 
 /// Gauge values at the time of a scrape.
@@ -48,6 +50,7 @@
     pub(crate) children: usize,
     pub(crate) running: u32,
     pub(crate) queued: u32,
+    pub(crate) rate_limit: Option<PerSecond>,
     pub(crate) store_calls: [CallCount; CallKind::ALL.len()],
     pub(crate) hedges: HedgeCounts,
     pub(crate) tenants: TenantSnapshot,
@@ -132,6 +135,11 @@
                 "Calls that wait for the target.",
             )?,
         );
+        let rate_limit = Gauge::new(
+            "dandelionseam_target_rate_limit",
+            "Requests a second that the target takes from all nodes; -1 without a limit.",
+        )?;
+        registry.register(Box::new(rate_limit.clone()))?;
         Ok(Self {
             tenants: TenantMetrics::new(&registry)?,
             registry,
@@ -150,6 +158,7 @@
             children,
             running,
             queued,
+            rate_limit,
         })
     }
 
@@ -197,6 +206,8 @@
         ] {
             gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
         }
+        let rate_limit = snapshot.rate_limit.map_or(-1.0, PerSecond::get);
+        self.rate_limit.set(rate_limit);
         self.tenants.set(snapshot.tenants);
         let HedgeCounts { sent, won } = snapshot.hedges;
         for (result, total) in [("sent", sent), ("won", won)] {
