Keep to the rate limit that a target declares

Cause: nothing read the header. Capacity was only ever declared in announcements (slots) or inferred (refusals, slowness), so a limit that a target declares while it runs had no way into the admission.

Change: the node beside a target, which hands over all of its calls, paces them at the limit. The wait for it counts like the wait for a slot: a call is queued within its objective, otherwise refused and sent elsewhere, and the choice of targets takes the reported wait of limited targets into account. A node that has restarted does not know the limit until the first answer; the nodes of callers, which read it from the answers that they pass on, send it along with their calls until then. The limit ends with an answer without it to a request that was sent after it was declared.

Why it works: one bucket holds for the calls of all nodes. At a rate N it lets at most 4 N + max(1, N / 2) calls pass in 4 s, one and a half times the limit is 6 N.

--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -266,6 +266,14 @@
     ) -> Result<(UpstreamAnswer, InFlight), Failure> {
         let node = &choice.candidate.node;
         let in_flight = self.target_stats.start(node);
+        let started_at = Instant::now();
+        // The node beside the target may have restarted since it reported the limit.
+        let rate_limit = self.target_stats.lock().rate_limit(node);
+        let limited_call = rate_limit.is_some().then(|| RoutedCall {
+            rate_limit,
+            ..call.clone()
+        });
+        let call = limited_call.as_ref().unwrap_or(call);
         let result = if *node == self.locality.node {
             self.target.run(call.clone(), payload.clone()).await
         } else {
@@ -277,13 +285,27 @@
             }
         };
         let result = match result {
-            Ok(answer) => answer.wait_body(call).await,
+            Ok(answer) => {
+                self.record_notice(node, &answer, started_at);
+                answer.wait_body(call).await
+            }
             Err(failure) => Err(failure),
         };
         self.observe(node, &call.route, &result);
         result.map(|answer| (answer, in_flight))
     }
 
+    /// Records what a target tells about itself in the answer to a call that was sent at `sent_at`.
+    fn record_notice(&self, node: &id::Node, answer: &UpstreamAnswer, sent_at: Instant) {
+        // A recorded answer is older than the call.
+        if answer.recorded {
+            return;
+        }
+        let notice = self.target.read_notice(&answer.headers);
+        let mut stats = self.target_stats.lock();
+        stats.record_rate_limit(node, notice.rate_limit, sent_at, Instant::now());
+    }
+
     fn observe(
         &self,
         node: &id::Node,
@@ -515,6 +537,7 @@
         version: routes.version(),
         priority: plan.priority,
         bulk: plan.scope.bulk,
+        rate_limit: None,
         objective: (!plan.objective.is_zero())
             .then(|| Deadline::new(now + plan.objective.saturating_sub(age))),
     };
--- a/crates/call/src/failure.rs
+++ b/crates/call/src/failure.rs
@@ -6,7 +6,7 @@
 use types::{Fault, Outcome, id};
 
 /// Failure of a call that got no answer.
-#[derive(Clone, Debug, Error, PartialEq)]
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("{reason} ({outcome}, fault {fault})")]
 pub struct Failure {
     /// Whether the call ran.
--- a/crates/call/src/limiter.rs
+++ b/crates/call/src/limiter.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use route::{Admission, Decision, Load, Refusal, Requirements, Ticket};
+use tokio::runtime::Handle;
 use tokio::sync::{oneshot, watch};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
+use types::rate::PerSecond;
 use types::{Deadline, size};
 
 use crate::shaper::Shaper;
@@ -19,6 +21,8 @@
 struct Inner {
     admission: Admission,
     waiting: HashMap<Ticket, oneshot::Sender<Result<(), Refusal>>>,
+    /// Whether a task waits until the rate limit allows the next queued call.
+    is_pacing: bool,
 }
 
 /// Slot held by one call. Dropping it frees the slot.
@@ -40,6 +44,7 @@
             inner: Mutex::new(Inner {
                 admission: Admission::new(slots, queue, Instant::now()),
                 waiting: HashMap::new(),
+                is_pacing: false,
             }),
             in_use: watch::Sender::new(0),
             shaper,
@@ -66,6 +71,7 @@
                 Decision::Wait(ticket) => {
                     let (grant, granted) = oneshot::channel();
                     inner.waiting.insert(ticket, grant);
+                    self.schedule_advance(&mut inner);
                     (ticket, granted)
                 }
             }
@@ -90,7 +96,7 @@
     }
 
     /// Changes the admission state and wakes the waiting calls that it now admits or refuses.
-    pub(crate) fn update<F>(&self, change: F)
+    pub(crate) fn update<F>(self: &Arc<Self>, change: F)
     where
         F: FnOnce(&mut Admission),
     {
@@ -103,9 +109,31 @@
                 inner.admission.release();
             }
         }
+        self.schedule_advance(&mut inner);
         self.in_use.send_replace(inner.admission.in_use());
     }
 
+    /// Advances the queue when the rate limit allows its first call, if one waits for that.
+    fn schedule_advance(self: &Arc<Self>, inner: &mut Inner) {
+        let wait = inner.admission.rate_limit_wait(Instant::now());
+        let (Some(wait), false) = (wait, inner.is_pacing) else {
+            return;
+        };
+        // A slot may be freed after the runtime has ended.
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        inner.is_pacing = true;
+        let limiter = Arc::downgrade(self);
+        runtime.spawn(async move {
+            sleep(wait).await;
+            if let Some(limiter) = limiter.upgrade() {
+                limiter.lock().is_pacing = false;
+                limiter.update(|_| ());
+            }
+        });
+    }
+
     /// Current load, which is reported to callers' nodes.
     pub(crate) fn load(&self) -> Load {
         Load {
@@ -114,6 +142,11 @@
         }
     }
 
+    /// Rate limit of the upstream; `None` without one.
+    pub(crate) fn rate_limit(&self) -> Option<PerSecond> {
+        self.lock().admission.rate_limit()
+    }
+
     /// Expected time until the answer to a call that arrives now.
     pub(crate) fn expected_time(&self, requirements: &Requirements) -> Duration {
         self.lock()
--- a/crates/call/src/local_upstream.rs
+++ b/crates/call/src/local_upstream.rs
@@ -3,6 +3,7 @@
 
 use route::{Availability, Stage, UpstreamHealth};
 use tokio::time::Instant;
+use types::rate::PerSecond;
 use types::{Deadline, id, size};
 
 use crate::limiter::Limiter;
@@ -122,6 +123,12 @@
         }
     }
 
+    /// Adopts the rate limit that a caller's node knows, until the upstream answers this node.
+    pub(crate) fn adopt_rate_limit(&self, limit: PerSecond) {
+        self.limiter
+            .update(|admission| admission.adopt_rate_limit(limit, Instant::now()));
+    }
+
     pub(crate) fn availability(&self) -> Availability {
         self.lock().health.availability(Instant::now())
     }
--- a/crates/call/src/message.rs
+++ b/crates/call/src/message.rs
@@ -68,7 +68,6 @@
         shed: load.shed,
         cold: load.cold,
         link_us: load.link_us,
-        rate_limit: None,
     }
 }
 
--- a/crates/call/src/peer.rs
+++ b/crates/call/src/peer.rs
@@ -49,7 +49,7 @@
         mut sender,
         receiver,
     } = open(connection, call).await?;
-    let head = message::wrap(Kind::Call(call.to_head(HOP_MARGIN, Instant::now())));
+    let head = call.to_message(HOP_MARGIN, Instant::now());
     let mut call_stream = CallStream {
         receiver,
         upload: None,
@@ -251,7 +251,7 @@
                     &self.service,
                 ))),
                 Some(Kind::Proceed(_)) => Ok(Event::Proceed),
-                Some(Kind::End(_) | Kind::Call(_)) | None => {
+                Some(Kind::End(_) | Kind::Call(_) | Kind::LimitedCall(_)) | None => {
                     Err(StreamError::Link(Error::Truncated))
                 }
             },
--- a/crates/call/src/routed_call.rs
+++ b/crates/call/src/routed_call.rs
@@ -2,8 +2,9 @@
 
 use http::{HeaderMap, Method};
 use route::Requirements;
-use schema::call::CallHead;
+use schema::call::{CallHead, LimitedCall, Message, message::Kind};
 use tokio::time::Instant;
+use types::rate::PerSecond;
 use types::{Deadline, Version, id};
 
 use crate::message;
@@ -33,6 +34,8 @@
     pub(crate) objective: Option<Deadline>,
     /// Whether the answer is large.
     pub(crate) bulk: bool,
+    /// Rate limit of the target that the caller's node knows; `None` without one.
+    pub(crate) rate_limit: Option<PerSecond>,
 }
 
 impl RoutedCall {
@@ -45,9 +48,34 @@
         }
     }
 
-    /// Encodes the message for the target's node with the time remaining at `now`, reduced by
+    /// Encodes the first message for the target's node, with the time remaining at `now`, reduced by
     /// `margin`.
-    pub(crate) fn to_head(&self, margin: Duration, now: Instant) -> CallHead {
+    pub(crate) fn to_message(&self, margin: Duration, now: Instant) -> Message {
+        let call = self.to_head(margin, now);
+        message::wrap(match self.rate_limit {
+            None => Kind::Call(call),
+            Some(rate_limit) => Kind::LimitedCall(LimitedCall {
+                call: Some(call),
+                rate_limit: rate_limit.get(),
+            }),
+        })
+    }
+
+    /// Decodes the first message of a caller's node, which has to be the head of a call; the remaining
+    /// time starts at `now`.
+    pub(crate) fn from_message(
+        message: Message,
+        now: Instant,
+    ) -> Option<Result<Self, message::InvalidMessage>> {
+        let (head, rate_limit) = match message.kind? {
+            Kind::Call(head) => (head, None),
+            Kind::LimitedCall(limited) => (limited.call?, Some(PerSecond::new(limited.rate_limit))),
+            _ => return None,
+        };
+        Some(Self::from_head(head, now).map(|call| Self { rate_limit, ..call }))
+    }
+
+    fn to_head(&self, margin: Duration, now: Instant) -> CallHead {
         let remaining = self.deadline.remaining(now).saturating_sub(margin);
         CallHead {
             request_id: self.request.to_string(),
@@ -74,8 +102,7 @@
         }
     }
 
-    /// Decodes the message of a caller's node; the remaining time starts at `now`.
-    pub(crate) fn from_head(head: CallHead, now: Instant) -> Result<Self, message::InvalidMessage> {
+    fn from_head(head: CallHead, now: Instant) -> Result<Self, message::InvalidMessage> {
         let remaining = Duration::from_micros(head.remaining_us).min(MAX_REMAINING_TIME);
         Ok(Self {
             request: head.request_id.parse()?,
@@ -92,6 +119,7 @@
             version: Version::new(head.version),
             priority: head.priority,
             bulk: head.bulk,
+            rate_limit: None,
             objective: (head.objective_us > 0).then(|| {
                 let remaining = Duration::from_micros(head.objective_us).min(MAX_REMAINING_TIME);
                 Deadline::new(now + remaining)
--- a/crates/call/src/serve.rs
+++ b/crates/call/src/serve.rs
@@ -38,10 +38,10 @@
         let Ok(Ok(Some(frame))) = head else {
             return sender.reset();
         };
-        let Some(Kind::Call(head)) = frame.message.kind else {
+        let Some(decoded) = RoutedCall::from_message(frame.message, Instant::now()) else {
             return sender.reset();
         };
-        let call = match RoutedCall::from_head(head, Instant::now()) {
+        let call = match decoded {
             Ok(call) => call,
             Err(error) => {
                 let failure = Failure::caller(StatusCode::BAD_REQUEST, error.to_string());
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use route::{ANNOUNCEMENT_TTL, Load};
 use store::Store;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout_at};
-use types::rate::Bandwidth;
+use types::rate::{Bandwidth, PerSecond};
 use types::{Deadline, id, size};
 
 use crate::active_calls::ActiveCalls;
@@ -22,7 +22,7 @@
 use crate::shaper::{Reservation, Shaper};
 use crate::upstream::Upstream;
 use crate::upstream_answer::UpstreamAnswer;
-use crate::{Announcement, Failure, HeaderCodec, MeshView};
+use crate::{Announcement, Failure, HeaderCodec, MeshView, Notice};
 
 /// Target side of the call path, for the node beside an upstream. Clones share their state.
 #[derive(Clone)]
@@ -145,6 +145,18 @@
             .map(|local| local.limiter.load())
     }
 
+    /// Requests that the upstream takes from all nodes together; `None` without a limit.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<PerSecond> {
+        let local = self.0.local.load();
+        local.as_ref().and_then(|local| local.limiter.rate_limit())
+    }
+
+    /// Reads the notice in the answer of an upstream of the mesh.
+    pub(crate) fn read_notice(&self, headers: &HeaderMap) -> Notice {
+        (self.0.options.header_codec.read_notice)(headers)
+    }
+
     /// Refuses new and queued calls, then waits until the running ones have ended.
     ///
     /// Returns the number of calls that are still running, or whose answers are still unsent, at
@@ -194,6 +206,9 @@
         payload: Payload,
     ) -> Result<UpstreamAnswer, Failure> {
         let local = self.admit(&call)?;
+        if let Some(limit) = call.rate_limit {
+            local.adopt_rate_limit(limit);
+        }
         let permit = match local.limiter.acquire(call.requirements()).await {
             Ok(permit) => permit,
             Err(refusal) => {
--- a/crates/call/tests/support/upstream.rs
+++ b/crates/call/tests/support/upstream.rs
@@ -33,6 +33,8 @@
     SilentInBody,
     /// Answers as `Echo` without padding, after this time.
     Slow(Duration),
+    /// As `Slow`, with further header lines, each with its line end.
+    Headers(Duration, &'static str),
     /// Sends the first text, then the second one over and over until the client closes the
     /// connection.
     Endless(&'static str, &'static str),
@@ -253,11 +255,15 @@
     }
     let length = content.len();
     let half = &content[..length / 2];
-    let sized = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n").into_bytes();
+    let more = match behaviour {
+        Behaviour::Headers(_, lines) => lines,
+        _ => "",
+    };
+    let sized = format!("HTTP/1.1 200 OK\r\n{more}content-length: {length}\r\n\r\n").into_bytes();
     let chunked = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n");
     let (bytes, keep_open) = match behaviour {
         Behaviour::Echo(_) => ([sized, content.clone()].concat(), true),
-        Behaviour::Slow(time) => {
+        Behaviour::Slow(time) | Behaviour::Headers(time, _) => {
             if closes_within(socket, time).await {
                 state.closed_early.fetch_add(1, Ordering::SeqCst);
                 return false;
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -147,8 +147,8 @@
     /// other call needs the slot and its service time is unknown.
     pub fn admit(&mut self, requirements: Requirements, now: Instant) -> Decision {
         match self.decide(&requirements, now) {
-            Ok(()) if self.queue.is_empty() && self.in_use < self.limit.slots(now) => {
-                self.in_use += 1;
+            Ok(()) if self.queue.is_empty() && self.can_start(now) => {
+                self.start(now);
                 Decision::Admit
             }
             Ok(()) => {
@@ -178,7 +178,7 @@
         if requirements.deadline.has_passed(now) {
             return Err(Refusal::DeadlinePassed);
         }
-        if self.queue.is_empty() && self.in_use < self.limit.slots(now) {
+        if self.queue.is_empty() && self.can_start(now) {
             return Ok(());
         }
         if self.queue.len() >= self.queue_limit.get() as usize {
@@ -247,8 +247,12 @@
             self.refusals.count(now);
             return Some((ticket, Err(Refusal::ObjectiveUnreachable)));
         }
+        if let Some(ticket) = self.pop_beyond_rate_limit(now) {
+            self.refusals.count(now);
+            return Some((ticket, Err(Refusal::DeadlineUnreachable)));
+        }
         let refusal = self.check_queued(self.queue.front()?.deadline, now);
-        if refusal.is_none() && self.in_use >= self.limit.slots(now) {
+        if refusal.is_none() && !self.can_start(now) {
             return None;
         }
         let ticket = self.queue.pop_front()?.ticket;
@@ -256,10 +260,27 @@
             self.refusals.count(now);
             return Some((ticket, Err(refusal)));
         }
-        self.in_use += 1;
+        self.start(now);
         Some((ticket, Ok(())))
     }
 
+    /// Whether a slot is free and the rate limit allows a call.
+    fn can_start(&self, now: Instant) -> bool {
+        self.in_use < self.limit.slots(now) && self.rate_limiter.wait(0, now).is_zero()
+    }
+
+    fn start(&mut self, now: Instant) {
+        self.in_use += 1;
+        self.rate_limiter.take(now);
+    }
+
+    /// Time until the rate limit allows the first queued call; `None` if no call waits for it.
+    #[must_use]
+    pub fn rate_limit_wait(&self, now: Instant) -> Option<Duration> {
+        let wait = self.rate_limiter.wait(0, now);
+        (!self.queue.is_empty() && !wait.is_zero()).then_some(wait)
+    }
+
     /// Removes the last call if it misses its objective and has waited for [`MAX_LATE_QUEUE_TIME`].
     fn pop_starved(&mut self, now: Instant) -> Option<Ticket> {
         let is_starved = |queued: &mut QueuedCall| {
@@ -271,6 +292,20 @@
             .map(|queued| queued.ticket)
     }
 
+    /// Removes the last call if the rate limit, which may be lower than when it was queued, lets it
+    /// start too late for its deadline.
+    fn pop_beyond_rate_limit(&mut self, now: Instant) -> Option<Ticket> {
+        let wait = self
+            .rate_limiter
+            .wait(self.queue.len().checked_sub(1)?, now);
+        if wait.is_zero() {
+            return None;
+        }
+        let needed = wait.saturating_add(self.min_service_time());
+        let is_late = |queued: &mut QueuedCall| needed >= queued.deadline.remaining(now);
+        self.queue.pop_back_if(is_late).map(|queued| queued.ticket)
+    }
+
     /// Returns the reason for refusing a queued call, if there is one.
     fn check_queued(&self, deadline: Deadline, now: Instant) -> Option<Refusal> {
         if self.draining {
@@ -308,6 +343,17 @@
         self.rate_limiter.record(limit, sent_at, now)
     }
 
+    /// Rate limit in force; `None` without one.
+    #[must_use]
+    pub const fn rate_limit(&self) -> Option<PerSecond> {
+        self.rate_limiter.limit()
+    }
+
+    /// Adopts the rate limit that a caller's node knows, until the upstream answers this node.
+    pub fn adopt_rate_limit(&mut self, limit: PerSecond, now: Instant) {
+        self.rate_limiter.adopt(limit, now);
+    }
+
     /// Load that is reported to the nodes of callers.
     #[must_use]
     pub fn load(&self, now: Instant) -> Load {
@@ -320,7 +366,6 @@
             link_us: 0,
             shed: self.refusals.last_second(now),
             cold: self.limit.is_cold(now),
-            rate_limit: self.rate_limiter.limit(),
         }
     }
 
@@ -364,8 +409,13 @@
         Duration::try_from_secs_f64(least).unwrap_or(Duration::MAX)
     }
 
-    /// Estimates the wait behind `ahead` queued calls.
+    /// Estimates the wait behind `ahead` queued calls, for a slot and for the rate limit.
     fn estimate_wait(&self, ahead: usize, now: Instant) -> Duration {
+        self.estimate_slot_wait(ahead, now)
+            .max(self.rate_limiter.wait(ahead, now))
+    }
+
+    fn estimate_slot_wait(&self, ahead: usize, now: Instant) -> Duration {
         let limit = self.limit.slots(now);
         if self.queue.is_empty() && self.in_use < limit {
             return Duration::ZERO;
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -5,6 +5,7 @@
 use rand::seq::index;
 use tokio::time::Instant;
 use types::id;
+use types::rate::PerSecond;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::target_state::{SMOOTHING_FACTOR, TargetState, WARM_UP};
@@ -65,7 +66,7 @@
     /// Chooses a target for a call.
     ///
     /// Uses the nearest tier within the region that has a target with capacity: below 80% of its
-    /// slots, not slow, and with a free link if answers are large. In that tier it picks the better
+    /// slots and of its rate limit, not slow, and with a free link if answers are large. In that tier it picks the better
     /// of two random targets. Without such a tier, it uses the target with the shortest expected
     /// time of all tiers, including the network cost. Ejected targets are used only if no other is
     /// left, excluded ones never.
@@ -92,6 +93,7 @@
         let has_capacity = |candidate: &Candidate| {
             self.load(candidate, now) < MAX_LOAD_RATIO
                 && self.slowness(candidate, now) < MAX_SLOWNESS_RATIO
+                && self.rate_limit_wait_seconds(candidate, now) <= 0.0
                 && self.link_wait_seconds(candidate, criteria, now) < MAX_LINK_WAIT_SECONDS
         };
         let near = tiers.iter().filter(|(tier, _)| *tier <= Tier::Region);
@@ -240,6 +242,25 @@
         state.ejected_until = Some(now + BASE_EJECTION_TIME * 2_u32.pow(doublings));
     }
 
+    /// Rate limit in the answers of a target; `None` without one.
+    #[must_use]
+    pub fn rate_limit(&self, node: &id::Node) -> Option<PerSecond> {
+        self.targets.get(node)?.rate_limit.get()
+    }
+
+    /// Records the rate limit in the answer of a target to a call that was sent at `sent_at`; `None` if
+    /// the answer has none.
+    pub fn record_rate_limit(
+        &mut self,
+        node: &id::Node,
+        limit: Option<PerSecond>,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        let state = self.state_mut(node, now);
+        state.rate_limit.record(limit, sent_at, now);
+    }
+
     /// Calls per slot at a target, with one more call.
     #[must_use]
     pub fn load_with_call(&self, candidate: &Candidate, now: Instant) -> f64 {
@@ -326,10 +347,16 @@
         let load = self
             .state(candidate)
             .map_or(0.0, |state| state.load(candidate, 1, now));
-        let service = criteria.service_time.as_secs_f64() * slowness * load.max(1.0);
+        let service = criteria.service_time.as_secs_f64() * slowness * load.max(1.0)
+            + self.rate_limit_wait_seconds(candidate, now);
         service.max(self.link_wait_seconds(candidate, criteria, now))
     }
 
+    fn rate_limit_wait_seconds(&self, candidate: &Candidate, now: Instant) -> f64 {
+        self.state(candidate)
+            .map_or(0.0, |state| state.rate_limit_wait_seconds(now))
+    }
+
     /// Time that a large answer waits for the link of the target's instance, in seconds; zero for
     /// other answers.
     fn link_wait_seconds(
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -1,7 +1,5 @@
-use types::rate::PerSecond;
-
 /// Load of a target, measured by the node beside it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Slots in use.
     pub in_use: u32,
@@ -18,6 +16,4 @@
     pub shed: u32,
     /// Whether the target became ready less than 5 seconds ago.
     pub cold: bool,
-    /// Requests that the target takes from all nodes together; `None` without a limit.
-    pub rate_limit: Option<PerSecond>,
 }
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use crate::{Candidate, Load};
+use crate::{Candidate, DeclaredLimit, Load};
 
 /// Age from which a load report is ignored.
 const LOAD_REPORT_TTL: Duration = Duration::from_secs(2);
@@ -27,6 +27,9 @@
     pub(crate) last_used: Instant,
     pub(crate) in_flight: u32,
     pub(crate) report: Option<(Load, Instant)>,
+    /// Rate limit in its answers. It is kept for longer than load reports, since it holds until an
+    /// answer shows its end.
+    pub(crate) rate_limit: DeclaredLimit,
     pub(crate) failures: u32,
     pub(crate) ejected_until: Option<Instant>,
     /// Service time relative to the average of all targets, and when it was last measured.
@@ -40,6 +43,7 @@
             last_used: now,
             in_flight: 0,
             report: None,
+            rate_limit: DeclaredLimit::default(),
             failures: 0,
             ejected_until: None,
             slowness: None,
@@ -64,6 +68,16 @@
         (now.saturating_duration_since(received) < LOAD_REPORT_TTL).then_some(load)
     }
 
+    /// Remaining wait at a target with a rate limit, in seconds; zero without a limit.
+    pub(crate) fn rate_limit_wait_seconds(&self, now: Instant) -> f64 {
+        let (Some(_), Some((load, received))) = (self.rate_limit.get(), self.report) else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(received);
+        let wait = Duration::from_micros(load.wait_us).saturating_sub(age);
+        wait.as_secs_f64()
+    }
+
     pub(crate) fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -218,7 +218,7 @@
             children: self.relay.children(),
             running: load.in_use,
             queued: load.queued,
-            rate_limit: load.rate_limit,
+            rate_limit: self.target.rate_limit(),
             store_calls: self.adapter.backend.health.calls(),
             hedges: self.caller.hedge_counts(),
             tenants: TenantSnapshot {
