Keep to what a leaving target says in its answers

Nodes passed the header on without reading it, so requests went on to the target until its announcement arrived, and again after a restart of the node beside it.

Cause: the same as for the limit, what a target declares while it runs had no way into admission and choice.

Change: the node beside the target treats such an answer as a draining announcement that no later announcement undoes, and publishes the departure in its entry for the next process. A node that has passed on such an answer never chooses that start of the target again. Entries already have the start; the choice of targets now gets it.

--- a/crates/call/src/caller.rs
+++ b/crates/call/src/caller.rs
@@ -286,7 +286,7 @@
         };
         let result = match result {
             Ok(answer) => {
-                self.record_notice(node, &answer, started_at);
+                self.record_notice(&choice.candidate, &answer, started_at);
                 answer.wait_body(call).await
             }
             Err(failure) => Err(failure),
@@ -296,14 +296,18 @@
     }
 
     /// Records what a target tells about itself in the answer to a call that was sent at `sent_at`.
-    fn record_notice(&self, node: &id::Node, answer: &UpstreamAnswer, sent_at: Instant) {
+    fn record_notice(&self, candidate: &Candidate, answer: &UpstreamAnswer, sent_at: Instant) {
         // A recorded answer is older than the call.
         if answer.recorded {
             return;
         }
         let notice = self.target.read_notice(&answer.headers);
+        let now = Instant::now();
         let mut stats = self.target_stats.lock();
-        stats.record_rate_limit(node, notice.rate_limit, sent_at, Instant::now());
+        stats.record_rate_limit(&candidate.node, notice.rate_limit, sent_at, now);
+        if notice.is_leaving {
+            stats.record_leaving(candidate, now);
+        }
     }
 
     fn observe(
--- a/crates/call/src/header_codec.rs
+++ b/crates/call/src/header_codec.rs
@@ -11,6 +11,9 @@
 /// Header with the number of requests a second that an upstream takes from all nodes together.
 const RATE_LIMIT_HEADER: &str = "rate-limit";
 
+/// Header with the value 1 in the answers of an upstream that is about to leave.
+const LEAVING_HEADER: &str = "leaving";
+
 /// Values of a call that may be sent to the upstream as headers.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestContext<'a> {
@@ -50,6 +53,8 @@
 pub struct Notice {
     /// Requests that it takes from all nodes together; `None` without a limit.
     pub rate_limit: Option<PerSecond>,
+    /// Whether it is about to leave and takes no further calls.
+    pub is_leaving: bool,
 }
 
 type Encode = dyn Fn(RequestContext<'_>, &mut HeaderMap) + Send + Sync;
@@ -109,6 +114,9 @@
 fn read_notice(headers: &HeaderMap) -> Notice {
     Notice {
         rate_limit: parse_rate_limit(headers.get(RATE_LIMIT_HEADER)),
+        is_leaving: headers
+            .get(LEAVING_HEADER)
+            .is_some_and(|value| value == "1"),
     }
 }
 
--- a/crates/call/src/local_upstream.rs
+++ b/crates/call/src/local_upstream.rs
@@ -62,7 +62,8 @@
     pub(crate) fn announce(&self, announcement: Announcement, queue: size::Queue, draining: bool) {
         let (slots, connections) = (announcement.slots, announcement.connections);
         let usable_slots = Upstream::usable_slots(slots, connections);
-        let draining = draining || announcement.state == Stage::Draining;
+        let is_leaving = self.is_leaving();
+        let draining = draining || is_leaving || announcement.state == Stage::Draining;
         let cold_until = announcement
             .cold_remaining
             .map(|remaining| Instant::now() + remaining);
@@ -73,7 +74,11 @@
             state
                 .health
                 .record_announcement(announcement.state, Instant::now());
-            state.announcement = announcement;
+            state.announcement = if is_leaving {
+                announcement.with_state(Stage::Draining)
+            } else {
+                announcement
+            };
             before != Stage::Ready && state.announcement.state == Stage::Ready
         };
         self.limiter.update(|admission| {
@@ -110,6 +115,9 @@
 
     /// Applies a notice in the answer to a request that was sent at `sent_at`.
     pub(crate) fn record_notice(&self, notice: &Notice, sent_at: Instant) {
+        if notice.is_leaving && !self.is_leaving() {
+            self.mark_leaving();
+        }
         let mut is_changed = false;
         self.limiter.update(|admission| {
             is_changed = admission.record_rate_limit(notice.rate_limit, sent_at, Instant::now());
@@ -123,6 +131,24 @@
         }
     }
 
+    /// Whether the upstream has told in an answer that it is about to leave.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.lock().health.is_leaving()
+    }
+
+    /// Refuses new and queued calls, since the upstream is about to leave.
+    fn mark_leaving(&self) {
+        let instance = {
+            let mut state = self.lock();
+            state.health.record_leaving();
+            state.announcement.state = Stage::Draining;
+            state.announcement.instance.clone()
+        };
+        log::info!(instance:%; "upstream is about to leave");
+        self.limiter
+            .update(|admission| admission.set_draining(true));
+    }
+
     /// Adopts the rate limit that a caller's node knows, until the upstream answers this node.
     pub(crate) fn adopt_rate_limit(&self, limit: PerSecond) {
         self.limiter
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -220,9 +220,12 @@
         let active_call = self.0.active_calls.add(&call.request);
         let route = call.route.clone();
         let started_at = Instant::now();
-        let result = Run::new(call, local, permit, idempotency, active_call)
+        let result = Run::new(call, Arc::clone(&local), permit, idempotency, active_call)
             .start(payload)
             .await;
+        if local.is_leaving() {
+            self.0.publish();
+        }
         let observed = match &result {
             Ok(answer) => Ok(answer.status),
             Err(failure) => Err(failure.clone()),
--- a/crates/call/tests/notices.rs
+++ b/crates/call/tests/notices.rs
@@ -4,10 +4,14 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use call::Announcement;
 use futures::future::join_all;
-use support::{Behaviour, TestMesh, Upstream, announcement, service, status};
+use route::Stage;
+use support::{Behaviour, Node, TestMesh, Upstream, announcement, service, status};
+use types::Timestamp;
 
 const SERVICE_TIME: Duration = Duration::from_millis(100);
 
@@ -34,3 +38,45 @@
     assert!(upstream.total_runs() <= 2, "{} runs", upstream.total_runs());
     restarted.target.announce(announcement(upstream.address()));
 }
+
+/// Starts the node beside the upstream that started at `started`.
+async fn start_target(mesh: &Arc<TestMesh>, upstream: &Upstream, started: u64) -> Node {
+    mesh.remove("b");
+    let node = mesh.node("b", None).await;
+    node.target.announce(process(upstream, started));
+    mesh.add("b", node.address);
+    let mut candidates = mesh.candidates.lock().unwrap();
+    candidates.last_mut().unwrap().started = Some(Timestamp::new(started));
+    node
+}
+
+fn process(upstream: &Upstream, started: u64) -> Announcement {
+    let mut announcement = announcement(upstream.address());
+    announcement.started = Timestamp::new(started);
+    announcement
+}
+
+/// Guards against calls to an upstream that has told in an answer that it leaves: from other nodes, after
+/// a late announcement, and after a restart of the node beside it.
+#[tokio::test]
+async fn leaving_upstream_gets_no_further_calls() {
+    let mesh = TestMesh::new(service());
+    let upstream = Upstream::start(Behaviour::Headers(Duration::ZERO, "leaving: 1\r\n")).await;
+    let target = start_target(&mesh, &upstream, 1).await;
+    let (told, other) = (mesh.node("a", None).await, mesh.node("c", None).await);
+    assert_eq!(told.caller.call(status("first")).await.status, 200);
+    assert_eq!(
+        target.target.watch().borrow().as_ref().unwrap().state,
+        Stage::Draining
+    );
+    target.target.announce(process(&upstream, 1));
+    assert_eq!(other.caller.call(status("other")).await.status, 503);
+    drop(target);
+    let restarted = start_target(&mesh, &upstream, 1).await;
+    assert_eq!(told.caller.call(status("second")).await.status, 503);
+    assert_eq!(upstream.total_runs(), 1);
+    drop(restarted);
+    upstream.set_behaviour(Behaviour::Echo(10));
+    let _next = start_target(&mesh, &upstream, 2).await;
+    assert_eq!(told.caller.call(status("third")).await.status, 200);
+}
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -167,6 +167,7 @@
             domain: "north-a".parse().unwrap(),
             slots: size::Slots::new(4),
             build: None,
+            started: None,
         });
     }
 
--- a/crates/directory/src/entry.rs
+++ b/crates/directory/src/entry.rs
@@ -126,10 +126,15 @@
             _ => return Err(DecodeError::Format),
         };
         let record = Record::try_from(&message.record.unwrap_or_default())?;
+        let current: Option<UpstreamStart> = message.current.map(Into::into);
         Ok(Self {
-            record: Record { build, ..record },
+            record: Record {
+                build,
+                started: current.as_ref().map(|start| start.started),
+                ..record
+            },
             departed: message.departed.map(Into::into),
-            current: message.current.map(Into::into),
+            current,
         })
     }
 }
--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -224,11 +224,13 @@
                 record.service = Some(upstream.service);
                 record.slots = upstream.slots;
                 record.build = upstream.build;
+                record.started = Some(upstream.start.started);
                 record.state = upstream.state;
                 entry.current = Some(upstream.start);
             } else {
                 record.service = None;
                 record.build = None;
+                record.started = None;
                 record.state = State::Starting;
                 entry.current = None;
             }
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -3,7 +3,7 @@
 
 use schema::control;
 use thiserror::Error;
-use types::{Incarnation, id, size::Slots};
+use types::{Incarnation, Timestamp, id, size::Slots};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::State;
@@ -26,6 +26,9 @@
     /// Version of the upstream's software; `None` if it is not known. It is published in the platform's
     /// store only.
     pub build: Option<id::Build>,
+    /// Start time of the upstream's process, by its own clock; `None` if it is not known. It is
+    /// published in the platform's store only.
+    pub started: Option<Timestamp>,
     /// State of the node and its upstream.
     pub state: State,
     /// Start time of the node process.
@@ -90,6 +93,7 @@
             service: None,
             slots: Slots::default(),
             build: None,
+            started: None,
             state: State::Starting,
             incarnation,
             sequence: 0,
@@ -235,6 +239,7 @@
             service: parse_optional(&message.service)?,
             slots: Slots::new(message.slots),
             build: None,
+            started: None,
             state: parse_state(message.state)?,
             incarnation: Incarnation::new(message.incarnation),
             sequence: message.sequence,
--- a/crates/rollout/tests/states.rs
+++ b/crates/rollout/tests/states.rs
@@ -16,6 +16,7 @@
         region: "north".parse().unwrap(),
         domain: "north-a".parse().unwrap(),
         slots: size::Slots::new(4),
+        started: None,
         build: (!build.is_empty()).then(|| build.parse().unwrap()),
     }
 }
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -69,7 +69,7 @@
     /// slots and of its rate limit, not slow, and with a free link if answers are large. In that tier it picks the better
     /// of two random targets. Without such a tier, it uses the target with the shortest expected
     /// time of all tiers, including the network cost. Ejected targets are used only if no other is
-    /// left, excluded ones never.
+    /// left, excluded and leaving ones never.
     pub fn choose<R>(
         &mut self,
         candidates: &[Candidate],
@@ -85,7 +85,11 @@
         for candidate in tiers.iter().flat_map(|(_, subset)| subset) {
             self.state_mut(&candidate.node, now).last_used = now;
         }
-        let is_allowed = |candidate: &Candidate| !criteria.excluded.contains(&candidate.node);
+        let is_allowed = |candidate: &Candidate| {
+            let state = self.state(candidate);
+            !criteria.excluded.contains(&candidate.node)
+                && !state.is_some_and(|state| state.is_leaving(candidate))
+        };
         let is_healthy = |candidate: &Candidate| {
             let state = self.state(candidate);
             is_allowed(candidate) && !state.is_some_and(|state| state.is_ejected(now))
@@ -248,6 +252,12 @@
         self.targets.get(node)?.rate_limit.get()
     }
 
+    /// Records that a target has told in an answer that it is about to leave. Its process is never
+    /// chosen again, while the node beside it may restart and not know.
+    pub fn record_leaving(&mut self, candidate: &Candidate, now: Instant) {
+        self.state_mut(&candidate.node, now).leaving = candidate.started;
+    }
+
     /// Records the rate limit in the answer of a target to a call that was sent at `sent_at`; `None` if
     /// the answer has none.
     pub fn record_rate_limit(
--- a/crates/route/src/candidate.rs
+++ b/crates/route/src/candidate.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use member::Record;
-use types::{id, size};
+use types::{Timestamp, id, size};
 
 /// Target that a call to a service may be sent to, from the membership table.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,6 +18,8 @@
     pub slots: size::Slots,
     /// Version of its software; `None` if it is not known.
     pub build: Option<id::Build>,
+    /// Start time of its process, by its own clock; `None` if it is not known.
+    pub started: Option<Timestamp>,
 }
 
 impl From<&Record> for Candidate {
@@ -29,6 +31,7 @@
             domain: record.domain.clone(),
             slots: record.slots,
             build: record.build.clone(),
+            started: record.started,
         }
     }
 }
--- a/crates/route/src/target_state.rs
+++ b/crates/route/src/target_state.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use types::Timestamp;
 
 use crate::{Candidate, DeclaredLimit, Load};
 
@@ -30,6 +31,8 @@
     /// Rate limit in its answers. It is kept for longer than load reports, since it holds until an
     /// answer shows its end.
     pub(crate) rate_limit: DeclaredLimit,
+    /// Start of the target's process that is about to leave.
+    pub(crate) leaving: Option<Timestamp>,
     pub(crate) failures: u32,
     pub(crate) ejected_until: Option<Instant>,
     /// Service time relative to the average of all targets, and when it was last measured.
@@ -44,6 +47,7 @@
             in_flight: 0,
             report: None,
             rate_limit: DeclaredLimit::default(),
+            leaving: None,
             failures: 0,
             ejected_until: None,
             slowness: None,
@@ -78,6 +82,11 @@
         wait.as_secs_f64()
     }
 
+    /// Whether the process of the target is about to leave.
+    pub(crate) fn is_leaving(&self, candidate: &Candidate) -> bool {
+        self.leaving.is_some() && self.leaving == candidate.started
+    }
+
     pub(crate) fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
     }
--- a/crates/route/src/upstream_health.rs
+++ b/crates/route/src/upstream_health.rs
@@ -64,6 +64,7 @@
     refused_connections: u32,
     unhealthy_probes: u32,
     doubted: bool,
+    leaving: bool,
     last_answer: Option<Instant>,
 }
 
@@ -78,6 +79,7 @@
             refused_connections: 0,
             unhealthy_probes: 0,
             doubted: false,
+            leaving: false,
             last_answer: None,
         }
     }
@@ -97,6 +99,18 @@
         self.refused_connections = 0;
     }
 
+    /// Records that the upstream is about to leave. It counts as draining from now on, whatever later
+    /// announcements say.
+    pub const fn record_leaving(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether the upstream is about to leave.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Records that another upstream uses the address, so that this one counts as absent.
     pub const fn record_address_reuse(&mut self) {
         self.refused_connections = MAX_REFUSED_CONNECTIONS;
@@ -153,6 +167,7 @@
             return Availability::Absent;
         }
         match self.stage {
+            _ if self.leaving => Availability::Draining,
             Stage::Starting => Availability::Starting,
             Stage::Draining => Availability::Draining,
             Stage::Ready if self.doubted => Availability::Doubted,
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -37,6 +37,7 @@
         domain: format!("d{domain}").parse().unwrap(),
         slots: size::Slots::new(10),
         build: None,
+        started: None,
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -537,6 +537,16 @@
             ),
             None => log::info!("no upstream"),
         }
+        if let Some(announcement) = &upstream
+            && announcement.state == Stage::Draining
+        {
+            // The next process of this node must not send calls to it.
+            directory.set_departed(UpstreamStart {
+                instance: announcement.instance.clone(),
+                started: announcement.started,
+                address: None,
+            });
+        }
         directory.set_upstream(upstream.map(|announcement| Upstream {
             service: announcement.service,
             slots: announcement.slots,
--- a/crates/sidecar/tests/departures.rs
+++ b/crates/sidecar/tests/departures.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use standin::Memory;
-use support::{Process, TIMEOUT, Upstream, send, start_upstream, status, wait_status};
+use support::{
+    Process, TIMEOUT, Upstream, send, start_upstream, start_upstream_with, status, wait_status,
+};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -215,3 +217,40 @@
         assert_eq!(requests, 0);
     }
 }
+
+/// Guards against calls to an upstream that has only told in an answer that it leaves, after a restart of
+/// its node.
+#[tokio::test]
+async fn leaving_named_in_an_answer_outlives_the_process() {
+    let store = Memory::default();
+    store.set("config", b"3");
+    let mut process = Process::start(&store, "n0").await;
+    let upstream = start_upstream_with(&[("leaving", "1")]);
+    upstream
+        .send_heartbeat(&process.node, "i-1", 1, "ready")
+        .await;
+    wait_status(process.node.callers, "GET /status/1", "200").await;
+    // The entry names the upstream as the current one and as the one that has departed.
+    let mentions = || {
+        let entry = store.get("mesh/n0").unwrap_or_default();
+        entry.windows(3).filter(|bytes| *bytes == b"i-1").count()
+    };
+    timeout(TIMEOUT, async {
+        while mentions() < 2 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    })
+    .await
+    .unwrap();
+    process.kill().await;
+    process.restart().await;
+    upstream
+        .send_heartbeat(&process.node, "i-1", 2, "ready")
+        .await;
+    wait_status(process.node.ready, "GET /", "200").await;
+    assert_eq!(
+        status(&send(process.node.callers, "GET /status/2").await),
+        "503"
+    );
+    assert_eq!(upstream.request_count.load(Ordering::SeqCst), 1);
+}
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -414,6 +414,11 @@
 }
 
 pub fn start_upstream() -> Upstream {
+    start_upstream_with(&[])
+}
+
+/// Starts an upstream whose answers have further headers.
+pub fn start_upstream_with(headers: &'static [(&str, &str)]) -> Upstream {
     let limits = Limits {
         max_header_bytes: 16 * 1024,
         idle_timeout: TIMEOUT,
@@ -426,7 +431,11 @@
     let handler = move |request: Request<Incoming>| {
         counter.fetch_add(1, Ordering::SeqCst);
         *recorder.lock().unwrap() = Some(request.into_parts().0);
-        async { Ok(Response::new(full("done"))) }
+        let mut response = Response::new(full("done"));
+        for (name, value) in headers {
+            response.headers_mut().insert(*name, value.parse().unwrap());
+        }
+        async { Ok(response) }
     };
     tokio::spawn(Arc::new(Server::new(move || limits)).serve(listener, handler));
     Upstream {
