--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -454,3 +454,28 @@
         assert_eq!(store.calls("stale list"), expected.1, "stale once at most");
     }
 }
+
+/// Guards against nodes that are lost for the others after the store came back from a copy: without
+/// their entries and leases, or with an entry that they have replaced since.
+#[tokio::test(start_paused = true)]
+async fn entries_are_written_again_after_a_restore_of_the_store() {
+    for outage_ms in [0, 50, 2000] {
+        let store = Memory::default();
+        let a = start(&store, "a").await;
+        sleep(Duration::from_secs(1)).await;
+        let backup = store.back_up();
+        let _b = start(&store, "b").await;
+        a.set_departed(upstream("i-0").start);
+        sleep(Duration::from_secs(5)).await;
+        let newest = store.get("mesh/a");
+        store.set_down(true);
+        store.restore(backup);
+        sleep(Duration::from_millis(outage_ms)).await;
+        store.set_down(false);
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(store.get("mesh/a"), newest, "{outage_ms} ms");
+        assert!(store.get("mesh/b").is_some(), "{outage_ms} ms");
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(targets(&a), ["a", "b"], "{outage_ms} ms");
+    }
+}
--- a/crates/directory/tests/relay.rs
+++ b/crates/directory/tests/relay.rs
@@ -407,3 +407,24 @@
     wait(Duration::from_millis(1500), "follows", is_following).await;
     drop(nodes);
 }
+
+/// Guards against nodes that follow others and ignore the versions after the store came back from a copy.
+#[tokio::test]
+async fn versions_arrive_in_time_after_a_restore_of_the_store() {
+    let store = Memory::default();
+    let nodes = start_fleet(&store).await;
+    let backup = store.back_up();
+    for version in 2..6 {
+        publish(&store, &nodes, version).await;
+    }
+    store.set_down(true);
+    store.restore(backup);
+    sleep(Duration::from_secs(2)).await;
+    store.set_down(false);
+    store.set("config", config_text(5).as_bytes());
+    sleep(Duration::from_secs(4)).await;
+    publish(&store, &nodes, 6).await;
+    publish(&store, &nodes, 7).await;
+    let known = nodes.iter().map(|node| node.directory.node_count());
+    assert_eq!(known.min(), Some(NODES));
+}
--- a/crates/directory/tests/versions.rs
+++ b/crates/directory/tests/versions.rs
@@ -152,3 +152,52 @@
         },
     }
 }
+
+/// Guards against versions that are ignored after the store came back from a copy, because their revisions
+/// had been given out before: fewer, as many and more of them than the copy had lost.
+#[tokio::test(start_paused = true)]
+async fn versions_written_after_a_restore_of_the_store_are_in_force_in_time() {
+    for (outage_ms, lost, written) in [(0, 3, 1), (0, 3, 3), (50, 1, 4), (2000, 4, 1), (2000, 1, 6)]
+    {
+        let case = format!("{outage_ms} ms, {lost} lost, {written} written");
+        let store = Memory::default();
+        let watcher = start_watcher(&store);
+        store.set("config", b"10");
+        sleep(Duration::from_secs(5)).await;
+        let backup = store.back_up();
+        for version in 11..11 + lost {
+            store.set("config", version.to_string().as_bytes());
+            sleep(Duration::from_millis(2500)).await;
+        }
+        store.set_down(true);
+        store.restore(backup);
+        sleep(Duration::from_millis(outage_ms)).await;
+        store.set_down(false);
+        let newest = 20 + written;
+        for version in 21..=newest {
+            store.set("config", version.to_string().as_bytes());
+        }
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(watcher.current().as_deref(), Some(&newest), "{case}");
+        store.set("config", b"40");
+        sleep(Duration::from_millis(2500)).await;
+        assert_eq!(watcher.current().as_deref(), Some(&40), "{case}, later");
+    }
+}
+
+/// Guards against an older version in force after the store came back from a copy that has it.
+#[tokio::test(start_paused = true)]
+async fn a_restore_of_the_store_brings_no_older_version_back() {
+    let store = Memory::default();
+    let watcher = start_watcher(&store);
+    store.set("config", b"10");
+    sleep(Duration::from_secs(5)).await;
+    let backup = store.back_up();
+    store.set("config", b"11");
+    sleep(Duration::from_millis(2500)).await;
+    store.restore(backup);
+    for _ in 0..50 {
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(watcher.current().as_deref(), Some(&11));
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -32,7 +32,7 @@
 /// Loopback address with a free port.
 pub const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-pub use memory::Memory;
+pub use memory::{Backup, Memory};
 pub use schema::standin::{
     Behaviour, Counters, Faults, HealthMode, Log, LogEntry, Outage, Progress, ServiceTime,
     UpstreamSettings,
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -16,6 +16,13 @@
 /// Time after which a call that gets no answer fails.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Copy of a [`Memory`] at one time.
+pub struct Backup {
+    items: BTreeMap<String, (u64, Bytes, u64)>,
+    leases: BTreeSet<u64>,
+    revision: u64,
+}
+
 /// Store in memory. Clones share one state.
 #[derive(Clone, Default)]
 pub struct Memory {
@@ -147,6 +154,26 @@
         state.compacted = *self.revision.borrow();
     }
 
+    /// Copies the items and the leases.
+    #[must_use]
+    pub fn back_up(&self) -> Backup {
+        let state = self.lock();
+        Backup {
+            items: state.items.clone(),
+            leases: state.leases.clone(),
+            revision: *self.revision.borrow(),
+        }
+    }
+
+    /// Goes back to a copy. What was written since is lost, and its revisions are given out again.
+    pub fn restore(&self, backup: Backup) {
+        let mut state = self.lock();
+        state.items = backup.items;
+        state.leases = backup.leases;
+        state.history.retain(|(at, _)| *at <= backup.revision);
+        self.revision.send_replace(backup.revision);
+    }
+
     /// Refuses all calls, or serves them again.
     pub fn set_down(&self, down: bool) {
         self.lock().down = down;
@@ -233,7 +260,7 @@
                 if state.down && number > state.deaf {
                     return Err(Error::Unavailable("cut".to_owned()));
                 }
-                if after < state.compacted {
+                if after < state.compacted || after > *self.revision.borrow() {
                     return Err(Error::Compacted);
                 }
                 let new = state.history.iter().filter(|(at, change)| {
