Tell the revisions of a restored store from those before

Operators: after the store came back from a copy, an acknowledged version was not in force and a new route not served, until the revisions passed the one that the nodes had reached; targets that joined or left meanwhile were not noticed.

Cause: a node ordered what it heard by the revision alone. A restored store gives numbers out again, for other changes. A listing with a lower number counted as outdated, and a watch from the known number skipped what had got that number.

Change: a revision includes the era that the store tells in its answers, in the upper bits, so that all comparisons hold, in the store's client, in the mirrors and in the messages between nodes, whose form does not change. A node whose entry is back at an older state writes it again.

--- a/crates/directory/src/backend.rs
+++ b/crates/directory/src/backend.rs
@@ -10,9 +10,60 @@
 use crate::Health;
 
 /// Revision of the store; increases with each change.
+///
+/// A store that is restored from a copy gives out the numbers since that copy again, for other changes. So
+/// a revision includes the era of the store, which increases with each restore: the era in the upper 24 bits
+/// and the number in the lower 40. It is one integer because messages between nodes carry it as such.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Revision(pub u64);
 
+/// Bits of a [`Revision`] that hold the number within the era.
+const NUMBER_BITS: u32 = 40;
+
+const MAX_NUMBER: u64 = (1 << NUMBER_BITS) - 1;
+
+impl Revision {
+    /// Creates the revision with a number in an era. Eras are counted modulo 2^24.
+    #[must_use]
+    pub const fn new(era: u64, number: u64) -> Self {
+        debug_assert!(
+            number <= MAX_NUMBER,
+            "the store counts further than expected"
+        );
+        Self((era << NUMBER_BITS) | (number & MAX_NUMBER))
+    }
+
+    /// Era of the store.
+    #[must_use]
+    pub const fn era(self) -> u64 {
+        self.0 >> NUMBER_BITS
+    }
+
+    /// Number that the store uses within the era; 0 for a missing key.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.0 & MAX_NUMBER
+    }
+}
+
+impl Display for Revision {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self.era() {
+            0 => write!(f, "{}", self.number()),
+            era => write!(f, "{era}.{}", self.number()),
+        }
+    }
+}
+
+impl FromStr for Revision {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        let (era, number) = text.split_once('.').unwrap_or(("0", text));
+        Ok(Self::new(era.parse()?, number.parse()?))
+    }
+}
+
 /// Identifies a lease that the store has granted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LeaseId(pub u64);
@@ -22,27 +73,20 @@
     pub const NONE: Self = Self(0);
 }
 
-macro_rules! impl_number_text {
-    ($name:ident) => {
-        impl Display for $name {
-            fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-                Display::fmt(&self.0, f)
-            }
-        }
+impl Display for LeaseId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        Display::fmt(&self.0, f)
+    }
+}
 
-        impl FromStr for $name {
-            type Err = ParseIntError;
+impl FromStr for LeaseId {
+    type Err = ParseIntError;
 
-            fn from_str(text: &str) -> Result<Self, ParseIntError> {
-                text.parse().map(Self)
-            }
-        }
-    };
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(Self)
+    }
 }
 
-impl_number_text!(Revision);
-impl_number_text!(LeaseId);
-
 /// Lease and its time to live.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lease {
@@ -64,8 +108,9 @@
     /// The revision of the key differs from the one that the write expects.
     #[error("key is at revision {0}")]
     Conflict(Revision),
-    /// The store no longer keeps the history after the requested revision.
-    #[error("revision has been compacted")]
+    /// The store does not have the history after the requested revision: it has dropped it, or was
+    /// restored from a copy.
+    #[error("history after the revision is gone")]
     Compacted,
     /// The answer is larger than the client accepts.
     #[error("answer from the store is too large")]
--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -389,7 +389,7 @@
             OwnUpdate::None => {}
             OwnUpdate::Found(stored) => {
                 self.keep_departed(&stored.entry);
-                if self.is_replaced_by(&stored.entry) {
+                if self.is_replaced_by(&stored.entry, reached) {
                     self.entry_outdated.notify_one();
                 }
                 self.resolve_previous(PreviousEntry::Found(stored));
@@ -451,13 +451,18 @@
         own
     }
 
-    /// Whether an earlier process of this node has replaced the entry that this one has written or taken
-    /// over. A write whose answer was lost may be done seconds later.
-    fn is_replaced_by(&self, stored: &Entry) -> bool {
+    /// Whether the store has an older entry in place of the one that this node has written or taken over.
+    /// A late write of an earlier process may have replaced it, or the store was restored from a copy.
+    fn is_replaced_by(&self, stored: &Entry, reached: Revision) -> bool {
         let own = self.own_entry.borrow();
-        self.written.borrow().is_some()
-            && stored.record.incarnation != own.record.incarnation
-            && !own.is_equivalent(stored)
+        let Some(written) = *self.written.borrow() else {
+            return false;
+        };
+        if stored.record.incarnation == own.record.incarnation {
+            reached > written.revision && stored.record.sequence < written.sequence
+        } else {
+            !own.is_equivalent(stored)
+        }
     }
 
     /// Takes over the departure that an earlier process has published.
--- a/crates/directory/src/mirror.rs
+++ b/crates/directory/src/mirror.rs
@@ -57,8 +57,13 @@
     /// Updates from several sources may overlap. Each must continue from a revision that was reached
     /// before.
     pub fn apply(&mut self, update: &Update, revision: Revision) -> bool {
+        // Changes continue the history of one era only.
+        let is_new_era = self
+            .revision
+            .is_some_and(|reached| reached.era() != revision.era());
         match (self.revision, update) {
             (None, Update::Changes(_)) => return false,
+            (_, Update::Changes(_)) if is_new_era => return false,
             (Some(reached), Update::Changes(_)) if revision <= reached => return false,
             (Some(reached), Update::Snapshot(_)) if revision < reached => return false,
             _ => {}
@@ -74,7 +79,8 @@
                 for item in items {
                     self.put(item, known_revision(item), revision);
                 }
-                if self.revision.is_none() {
+                // A follower in an earlier era may have changes that this node has never seen.
+                if self.revision.is_none() || is_new_era {
                     self.floor = revision;
                 }
             }
--- a/crates/directory/src/source.rs
+++ b/crates/directory/src/source.rs
@@ -262,6 +262,10 @@
                 self.is_first_watch &= !was_watch;
                 self.backoff.reset();
                 self.shared.set_source_current(self.table, true);
+                let known = self.table.revision();
+                if known.is_some_and(|known| known.era() < revision.era()) {
+                    log::warn!(prefix, revision:%; "store was restored from a copy");
+                }
                 let is_new = update.is_some_and(|update| self.table.apply(&update, revision));
                 if was_watch {
                     self.table.confirm(sent_at.before(WATCH_BLIND_TIME));
@@ -274,7 +278,7 @@
                 true
             }
             Err(Error::Compacted) => {
-                log::info!(prefix; "store has compacted its history; listing the prefix again");
+                log::info!(prefix; "store does not have the history any more; listing the prefix again");
                 self.reached = None;
                 false
             }
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -32,6 +32,8 @@
 
 #[derive(Default)]
 struct State {
+    /// Rises with each restore.
+    era: u64,
     items: BTreeMap<String, (u64, Bytes, u64)>,
     history: Vec<(u64, Change)>,
     compacted: u64,
@@ -168,6 +170,7 @@
     /// Goes back to a copy. What was written since is lost, and its revisions are given out again.
     pub fn restore(&self, backup: Backup) {
         let mut state = self.lock();
+        state.era += 1;
         state.items = backup.items;
         state.leases = backup.leases;
         state.history.retain(|(at, _)| *at <= backup.revision);
@@ -230,6 +233,7 @@
             "list"
         };
         let state = self.called(kind)?;
+        let era = state.era;
         let items = state
             .items
             .iter()
@@ -237,17 +241,17 @@
             .map(|(key, (revision, value, lease))| Item {
                 key: key.clone(),
                 value: value.clone(),
-                revision: Revision(*revision),
+                revision: Revision::new(era, *revision),
                 lease: (*lease > 0).then_some(LeaseId(*lease)),
             });
         Ok(Listing {
             items: items.collect(),
-            revision: Revision(*self.revision.borrow()),
+            revision: Revision::new(era, *self.revision.borrow()),
         })
     }
 
     async fn watch(&self, request: &WatchRequest) -> Result<(Vec<Change>, Revision), Error> {
-        let (prefix, after) = (request.prefix.as_str(), request.after.0);
+        let (prefix, after) = (request.prefix.as_str(), request.after.number());
         let mut revisions = self.revision.subscribe();
         let number = {
             let state = self.called("watch")?;
@@ -260,7 +264,9 @@
                 if state.down && number > state.deaf {
                     return Err(Error::Unavailable("cut".to_owned()));
                 }
-                if after < state.compacted || after > *self.revision.borrow() {
+                let is_unknown =
+                    request.after.era() != state.era || after > *self.revision.borrow();
+                if after < state.compacted || is_unknown {
                     return Err(Error::Compacted);
                 }
                 let new = state.history.iter().filter(|(at, change)| {
@@ -272,14 +278,15 @@
                 });
                 let changes: Vec<_> = new.map(|(_, change)| change.clone()).collect();
                 if !changes.is_empty() && number > state.deaf {
-                    return Ok((changes, Revision(*revisions.borrow_and_update())));
+                    let revision = *revisions.borrow_and_update();
+                    return Ok((changes, Revision::new(state.era, revision)));
                 }
             }
             if tokio::time::timeout_at(until, revisions.changed())
                 .await
                 .is_err()
             {
-                return Ok((Vec::new(), Revision(after)));
+                return Ok((Vec::new(), request.after));
             }
         }
     }
@@ -287,7 +294,7 @@
     fn check(&self, key: &str, revision: Revision) -> Result<bool, Error> {
         let state = self.called("check")?;
         let current = state.items.get(key).map_or(0, |(at, ..)| *at);
-        Ok(current == revision.0)
+        Ok(Revision::new(state.era, current) == revision)
     }
 
     fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
@@ -312,15 +319,17 @@
             return Err(Error::LeaseExpired);
         }
         let current = state.items.get(&item.key).map_or(0, |(at, ..)| *at);
-        if current != held.0 {
-            return Err(Error::Conflict(Revision(current)));
+        let is_later = held.number() > 0 && held.era() != state.era;
+        if current != held.number() || is_later {
+            let era = state.era;
+            return Err(Error::Conflict(Revision::new(era, current)));
         }
         let revision = self.apply(&mut state, &item.key, Some(item.value), lease.0);
         if state.lost > 0 {
             state.lost -= 1;
             return Err(Error::Unavailable("answer lost".to_owned()));
         }
-        Ok(Revision(revision))
+        Ok(Revision::new(state.era, revision))
     }
 
     fn apply(&self, state: &mut State, key: &str, value: Option<Bytes>, lease: u64) -> u64 {
@@ -332,7 +341,7 @@
             Change::Put(Item {
                 key: key.to_owned(),
                 value,
-                revision: Revision(revision),
+                revision: Revision::new(state.era, revision),
                 lease: (lease > 0).then_some(LeaseId(lease)),
             })
         } else {
