Go on with roll-outs whose orders are written again after a restore

An order is identified by its revision, and what the driver had written counted as stored.

Change: an order of the same version from a later era of the store continues the state and the evidence of the one before. An order that is missing after a restore counts as withdrawn only after 10 s. Statuses are written again in a new era.

--- a/crates/sidecar/src/rollout_driver.rs
+++ b/crates/sidecar/src/rollout_driver.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use directory::{Error, Item, LeaseId, ListRequest, Revision};
+use directory::{Error, Item, LeaseId, ListRequest, Listing, Revision};
 use member::State;
 use rollout::{Order, Rollout, Situation, Stage, advance, base_build};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -17,7 +17,7 @@
 use types::{BootTime, id};
 
 use crate::Node;
-use crate::rollouts::{RolloutAdapter, decode_state, encode_state};
+use crate::rollouts::{RolloutAdapter, decode_state, encode_state, is_later_era};
 
 /// Time between two decisions on a roll-out.
 const INTERVAL: Duration = Duration::from_millis(400);
@@ -28,6 +28,10 @@
 /// Time between two checks whether this node drives.
 const ELECTION_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time after a restore of the store from a copy for which a missing order does not count as withdrawn. The
+/// copy may lack it, and the operator writes it again.
+const LOST_ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Drives the roll-outs while this node coordinates. Runs until the future is dropped.
 pub(crate) async fn run(node: Arc<Node>) {
     let Some(adapter) = &node.adapter.rollouts else {
@@ -73,6 +77,8 @@
     statuses: HashMap<String, Vec<u8>>,
     /// Whether all known roll-outs have ended and their statuses are written.
     is_settled: bool,
+    /// Era of the store, and when this node first read it.
+    era: Option<(u64, Instant)>,
 }
 
 impl<'a> Driver<'a> {
@@ -83,6 +89,7 @@
             revisions: HashMap::new(),
             statuses: HashMap::new(),
             is_settled: false,
+            era: None,
         }
     }
 
@@ -109,6 +116,14 @@
         }
         for known in self.node.rollouts.states() {
             let order = orders.get(&known.rollout.service);
+            // The order counts as withdrawn otherwise.
+            let is_waiting = order.map_or_else(
+                || self.may_be_lost(&known.rollout),
+                |order| is_written_again(order, &known.rollout),
+            );
+            if is_waiting {
+                continue;
+            }
             let in_stage = known.since.age(BootTime::now());
             if let Some((next, reason)) = self.decide(&known.rollout, order, in_stage) {
                 self.write_state(next, &reason).await?;
@@ -123,22 +138,36 @@
         Ok(())
     }
 
-    async fn read_orders(&self) -> Result<BTreeMap<id::Service, Order>, Error> {
-        let items = self.list(&self.adapter.order_prefix).await?;
-        let orders = items
-            .iter()
-            .filter_map(|item| match (self.adapter.decode_order)(item) {
+    /// Whether a roll-out may miss its order only because the store was restored from a copy.
+    fn may_be_lost(&self, rollout: &Rollout) -> bool {
+        self.era.is_some_and(|(era, since)| {
+            Revision(rollout.order).era() < era && since.elapsed() < LOST_ORDER_TIMEOUT
+        })
+    }
+
+    async fn read_orders(&mut self) -> Result<BTreeMap<id::Service, Order>, Error> {
+        let listing = self.list(&self.adapter.order_prefix).await?;
+        let era = listing.revision.era();
+        if self.era.is_none_or(|(known, _)| known < era) {
+            self.era = Some((era, Instant::now()));
+            // The store may have lost what this node has written.
+            self.statuses.clear();
+            self.is_settled = false;
+        }
+        let orders = listing.items.iter().filter_map(|item| {
+            match (self.adapter.decode_order)(item) {
                 Ok(order) => Some((order.service.clone(), order)),
                 Err(reason) => {
                     log::warn!(key:% = item.key, reason:%; "invalid order of a roll-out ignored");
                     None
                 }
-            });
+            }
+        });
         Ok(orders.collect())
     }
 
     async fn read_states(&mut self) -> Result<(), Error> {
-        for item in self.list(&self.adapter.state_prefix).await? {
+        for item in self.list(&self.adapter.state_prefix).await?.items {
             self.revisions.insert(item.key.clone(), item.revision);
             if let Ok(rollout) = decode_state(&item.value) {
                 self.node.rollouts.learn(rollout);
@@ -147,20 +176,30 @@
         Ok(())
     }
 
-    async fn list(&self, prefix: &str) -> Result<Vec<Item>, Error> {
+    async fn list(&self, prefix: &str) -> Result<Listing, Error> {
         let request = ListRequest {
             prefix: prefix.to_owned(),
             allow_stale: false,
         };
-        let listing = (self.node.adapter.backend.list)(request).await?;
-        Ok(listing.items)
+        (self.node.adapter.backend.list)(request).await
     }
 
-    /// Begins the roll-out of an order that has no state yet.
+    /// Begins the roll-out of an order that has no state yet, or goes on with one whose order was written
+    /// again.
     async fn accept(&mut self, order: &Order) -> Result<(), Error> {
         let known = self.node.rollouts.known(&order.service);
-        if known.is_some_and(|known| known.rollout.order >= order.revision) {
-            return Ok(());
+        if let Some(known) = known {
+            if known.rollout.order >= order.revision {
+                return Ok(());
+            }
+            if is_written_again(order, &known.rollout) {
+                let rollout = Rollout {
+                    order: order.revision,
+                    elapsed: known.rollout.elapsed + known.since.age(BootTime::now()),
+                    ..known.rollout
+                };
+                return self.write_state(rollout, "order written again").await;
+            }
         }
         let rollout = Rollout {
             service: order.service.clone(),
@@ -269,3 +308,8 @@
         result.map(drop)
     }
 }
+
+/// Whether an order is the one of a roll-out, written again after a restore of the store from a copy.
+fn is_written_again(order: &Order, rollout: &Rollout) -> bool {
+    order.build == rollout.build && is_later_era(order.revision, rollout.order)
+}
--- a/crates/sidecar/src/rollouts.rs
+++ b/crates/sidecar/src/rollouts.rs
@@ -150,6 +150,15 @@
             share:% = rollout.share, targets = rollout.trial_nodes.len();
             "roll-out has a new state"
         );
+        // The order was written again, so that the answers so far still count.
+        if let Some(known) = states.get(&rollout.service)
+            && known.rollout.build == rollout.build
+            && is_later_era(rollout.order, known.rollout.order)
+            && let Some(own) = &mut *lock(&self.own)
+            && own.order == known.rollout.order
+        {
+            own.order = rollout.order;
+        }
         let known = Known {
             since: BootTime::now(),
             rollout,
@@ -238,6 +247,11 @@
     }
 }
 
+/// Whether the revision of an order is from a later era of the store than that of another one.
+pub(crate) fn is_later_era(order: u64, other: u64) -> bool {
+    Revision(order).era() > Revision(other).era()
+}
+
 /// Whether a run counts as a failure of the upstream; `None` if it says nothing about it.
 fn classify(result: &Result<StatusCode, Failure>) -> Option<bool> {
     match result {
--- a/crates/sidecar/tests/rollouts.rs
+++ b/crates/sidecar/tests/rollouts.rs
@@ -85,3 +85,47 @@
     store.set("orders/renewals", ORDER);
     wait_stage(&store, "waiting").await;
 }
+
+/// Guards against a decision that is taken back, or lost for the operator, when the store comes back from a
+/// copy without it and the order is written again.
+#[tokio::test]
+async fn a_final_decision_outlives_a_restore_of_the_store() {
+    let store = Memory::default();
+    store.set("config", b"1");
+    let _process = start(&store, "a").await;
+    let backup = store.back_up();
+    store.set("orders/renewals", ORDER);
+    wait_stage(&store, "rolled-back").await;
+    store.restore(backup);
+    store.set("orders/renewals", ORDER);
+    let waiting = async {
+        while status(&store).is_empty() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(TIMEOUT, waiting).await.unwrap();
+    for _ in 0..20 {
+        assert_eq!(status(&store), "rolled-back");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Guards against a roll-out that is taken for withdrawn because the store has come back from a copy without
+/// its order, which is written again a moment later.
+#[tokio::test]
+async fn an_order_that_a_restore_has_lost_is_not_withdrawn() {
+    let store = Memory::default();
+    store.set("config", b"1");
+    let _process = start(&store, "a").await;
+    let backup = store.back_up();
+    let order = b"v2 60";
+    store.set("orders/renewals", order);
+    wait_stage(&store, "waiting").await;
+    store.restore(backup);
+    for _ in 0..15 {
+        sleep(Duration::from_millis(100)).await;
+        assert_ne!(status(&store), "rolled-back");
+    }
+    store.set("orders/renewals", order);
+    wait_stage(&store, "waiting").await;
+}
