Answers with a status that HTTP does not have are failures

Callers: a target's answer with status 101, 600 or 999 was passed on as an answer. Status 000 was not: it, and 001, 099 and texts that are no number, end as 502 on the code before, too.

Cause: every status that the HTTP library can represent counted as valid. The library leaves 101 and 600 to 999 to its user.

Change: an answer with a status outside 200 to 599 is a failure with an unknown outcome, and its connection is closed.

Test: platform/statuses::answers_without_a_valid_status_are_failures failed before with 101.

--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -149,10 +149,18 @@
         response: Response<Incoming>,
         mut connection: Connection,
     ) -> Result<Exchange, SendError> {
+        let status = response.status();
+        // HTTP has no others; 101 answers a request for another protocol, which no node makes.
+        if !(200..600).contains(&status.as_u16()) {
+            return Err(SendError::Interrupted(format!(
+                "answer with status {}",
+                status.as_u16()
+            )));
+        }
         let context = self.request_context(call);
         connection.update_idle_limit(response.headers());
         let notice = (self.header_codec.read_notice)(response.headers());
-        match (self.header_codec.decode)(context, response.status(), response.headers()) {
+        match (self.header_codec.decode)(context, status, response.headers()) {
             AnswerKind::Valid => Ok(Exchange {
                 response,
                 connection,
