--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -66,10 +66,10 @@
     /// Chooses a target for a call.
     ///
     /// Uses the nearest tier within the region that has a target with capacity: below 80% of its
-    /// slots and of its rate limit, not slow, and with a free link if answers are large. In that tier it picks the better
-    /// of two random targets. Without such a tier, it uses the target with the shortest expected
-    /// time of all tiers, including the network cost. Ejected targets are used only if no other is
-    /// left, excluded and leaving ones never.
+    /// slots, within its rate limit, not slow, and with a free link if answers are large. In that
+    /// tier it picks the better of two random targets. Without such a tier, it uses the target with
+    /// the shortest expected time of all tiers, including the network cost. Ejected targets are used
+    /// only if no other is left, excluded and leaving ones never.
     pub fn choose<R>(
         &mut self,
         candidates: &[Candidate],
