Test the rate limit over restarts of the node beside the target

Guards against the sum of the calls of several nodes beyond a declared limit while the node beside the target restarts every 0.4 s.

--- a/crates/call/tests/notices.rs
+++ b/crates/call/tests/notices.rs
@@ -11,8 +11,13 @@
 use futures::future::join_all;
 use route::Stage;
 use support::{Behaviour, Node, TestMesh, Upstream, announcement, service, status};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
 use types::Timestamp;
 
+/// Time in which an upstream counts its requests.
+const WINDOW: Duration = Duration::from_secs(4);
+
 const SERVICE_TIME: Duration = Duration::from_millis(100);
 
 /// Guards against a burst at a target with a rate limit after a restart of the node beside it.
@@ -38,6 +43,42 @@
     assert!(upstream.total_runs() <= 2, "{} runs", upstream.total_runs());
 }
 
+/// Guards against more calls than the limit allows, from several nodes together, while the node beside the
+/// target restarts again and again.
+#[tokio::test]
+async fn rate_limit_holds_for_all_nodes_over_restarts() {
+    let mesh = TestMesh::new(service());
+    let behaviour = Behaviour::Headers(SERVICE_TIME, "rate-limit: 2\r\n");
+    let upstream = Upstream::start(behaviour).await;
+    let mut target = mesh.target("b", upstream.address()).await;
+    let mut nodes = Vec::new();
+    for name in ["a", "c", "d"] {
+        nodes.push(mesh.node(name, None).await);
+    }
+    for node in &nodes {
+        let first = node.caller.call(status("first")).await;
+        assert_eq!(first.status, 200);
+        first.body.read_to_end().await.unwrap();
+    }
+    let runs_before = upstream.total_runs();
+    let mut calls = JoinSet::new();
+    for tick in 0..200 {
+        let caller = nodes[tick % nodes.len()].caller.clone();
+        let call = async move { caller.call(status(&format!("r{tick}"))).await.status };
+        calls.spawn(call);
+        sleep(WINDOW / 200).await;
+        if tick % 20 == 19 {
+            mesh.remove("b");
+            drop(target);
+            target = mesh.target("b", upstream.address()).await;
+        }
+    }
+    let runs = upstream.total_runs() - runs_before;
+    // One and a half times the limit, and 5 more.
+    assert!((4..=17).contains(&runs), "{runs} runs in {WINDOW:?}");
+    calls.shutdown().await;
+}
+
 /// Starts the node beside the upstream that started at `started`.
 async fn start_target(mesh: &Arc<TestMesh>, upstream: &Upstream, started: u64) -> Node {
     mesh.remove("b");
