Read large answers of the store for as long as their bytes arrive

Cause: each call to the store had to end within 1.5 s, its body included. A value of 1 MB is 1.4 MB of base64, which such a link carries in 1.6 s. Each attempt was broken off shortly before its end and begun anew.

Change: the 1.5 s hold until the head of the answer. Its body may take as long as its bytes arrive: types::Progress ends a transfer after 1.5 s of silence, or when it stays below 16 KB/s. It does not depend on the size of the value or the rate of a link, and a silent store is noticed as soon as before.

--- a/crates/directory/src/backend.rs
+++ b/crates/directory/src/backend.rs
@@ -198,7 +198,8 @@
 
 /// Client of the platform's store, as closures.
 ///
-/// Each call times out on its own within a few seconds, a watch soon after its wait.
+/// Each call times out on its own: within a few seconds, a watch soon after its wait, and an answer that
+/// has begun when its bytes no longer arrive.
 pub struct Backend {
     /// Availability of the store, as seen by the calls.
     pub health: Health,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`Version`], [`Incarnation`], [`Digest`]: what orders and identifies state.
 //! - [`size`] and [`rate`]: amounts with their unit in the type.
 //! - [`Deadline`]: a point in time; durations are turned into deadlines where they enter.
+//! - [`Progress`]: the deadline of a transfer, which moves on with the bytes that arrive.
 //! - [`BootTime`]: a point in time for ages that count while the machine is suspended.
 //! - [`Outcome`] and [`Fault`]: what is known about a failed call.
 //! - [`report`]: JSON of the admin port, shared by the node and the tool.
@@ -25,6 +26,7 @@
 pub mod id;
 mod incarnation;
 mod outcome;
+mod progress;
 pub mod rate;
 pub mod report;
 pub mod size;
@@ -38,5 +40,6 @@
 pub use finding::{Finding, Findings};
 pub use incarnation::Incarnation;
 pub use outcome::{InvalidOutcome, Outcome};
+pub use progress::Progress;
 pub use timestamp::Timestamp;
 pub use version::Version;
