Ask an upstream of an earlier process before it gets calls

Cause: while the store does not take a departure, it is only in the memory of the node and of up to eight others. When all these processes are killed it is lost, and the next process of the node gave calls to the target that the older entry in the store names.

The question is asked when entry and configuration are read, and at each heartbeat; from 5 s on heartbeats count without it, since they were sent after the begin. The upstream is the only one that remembers a departure when all processes are gone, so this holds for every order of acknowledgement, kill and late heartbeat.

The stand-ins of the upstream answer health checks, apart from the requests that they count. The platform's health path is read from the configuration.

--- a/crates/call/src/announcement.rs
+++ b/crates/call/src/announcement.rs
@@ -33,6 +33,15 @@
 }
 
 impl Announcement {
+    /// Path of the health endpoint.
+    #[must_use]
+    pub fn health_path(&self) -> &str {
+        match self.health.as_str() {
+            "" => "/health",
+            path => path,
+        }
+    }
+
     /// Creates the announcement of a ready upstream with the default health endpoint.
     #[must_use]
     pub fn new(
--- a/crates/call/src/header_codec.rs
+++ b/crates/call/src/header_codec.rs
@@ -59,6 +59,7 @@
 
 type Encode = dyn Fn(RequestContext<'_>, &mut HeaderMap) + Send + Sync;
 type Decode = dyn Fn(RequestContext<'_>, StatusCode, &HeaderMap) -> AnswerKind + Send + Sync;
+type IsInstance = dyn Fn(&str, &HeaderMap) -> bool + Send + Sync;
 type ReadNotice = dyn Fn(&HeaderMap) -> Notice + Send + Sync;
 
 /// Headers exchanged between a node and its upstream: those added to requests and those that
@@ -68,6 +69,9 @@
     pub encode: Box<Encode>,
     /// Classifies an answer by its head.
     pub decode: Box<Decode>,
+    /// Whether the head of an answer of the health endpoint comes from an upstream process with this
+    /// identity.
+    pub is_instance: Box<IsInstance>,
     /// Reads the notice in an answer or a refusal of the upstream.
     pub read_notice: Box<ReadNotice>,
 }
@@ -78,6 +82,8 @@
         Self {
             encode: Box::new(encode),
             decode: Box::new(decode),
+            // The health endpoint does not tell the identity.
+            is_instance: Box::new(|_, _| true),
             read_notice: Box::new(read_notice),
         }
     }
--- a/crates/call/src/local_upstream.rs
+++ b/crates/call/src/local_upstream.rs
@@ -189,10 +189,7 @@
 
     /// Probes the health endpoint once. The result is ignored if the announcement expires first.
     pub(crate) async fn probe(&self) {
-        let path = match self.lock().announcement.health.as_str() {
-            "" => "/health".to_owned(),
-            path => path.to_owned(),
-        };
+        let path = self.lock().announcement.health_path().to_owned();
         let deadline = Deadline::after(PROBE_INTERVAL).min(self.expires_at());
         let result = self.upstream.probe(&path, deadline).await;
         if !self.expires_at().has_passed(Instant::now()) {
--- a/crates/call/src/target.rs
+++ b/crates/call/src/target.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwapOption;
 use http::{HeaderMap, StatusCode};
-use route::{ANNOUNCEMENT_TTL, Load};
+use route::{ANNOUNCEMENT_TTL, Load, Probe};
 use store::Store;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -119,6 +119,13 @@
         self.0.publish();
     }
 
+    /// Asks the health endpoint of the upstream process that an announcement names whether it takes
+    /// calls.
+    pub async fn check_health(&self, announcement: &Announcement, deadline: Deadline) -> bool {
+        let upstream = self.0.new_upstream(announcement);
+        upstream.probe(announcement.health_path(), deadline).await == Probe::Healthy
+    }
+
     /// Withdraws the announcement, so that new calls are refused.
     pub fn withdraw(&self) {
         if let Some(local) = self.0.local.swap(None) {
@@ -312,13 +319,7 @@
     /// Creates the state of an upstream that has announced itself.
     fn new_local(&self, announcement: Announcement, queue: size::Queue) -> LocalUpstream {
         let (slots, connections) = (announcement.slots, announcement.connections);
-        let upstream = Upstream::new(
-            announcement.address,
-            announcement.instance.clone(),
-            Arc::clone(&self.options.header_codec),
-            slots,
-            connections,
-        );
+        let upstream = self.new_upstream(&announcement);
         let usable_slots = Upstream::usable_slots(slots, connections);
         let ttl = self.options.announcement_ttl;
         LocalUpstream::new(
@@ -329,6 +330,16 @@
         )
     }
 
+    fn new_upstream(&self, announcement: &Announcement) -> Upstream {
+        Upstream::new(
+            announcement.address,
+            announcement.instance.clone(),
+            Arc::clone(&self.options.header_codec),
+            announcement.slots,
+            announcement.connections,
+        )
+    }
+
     fn publish(&self) {
         let current = self.local.load();
         let announcement = current.as_ref().and_then(|local| local.announcement());
--- a/crates/call/src/upstream.rs
+++ b/crates/call/src/upstream.rs
@@ -206,7 +206,7 @@
         self.lock().clear();
     }
 
-    /// Probes the health endpoint over a new connection.
+    /// Probes the health endpoint over a new connection. An answer of another process is unhealthy.
     pub(crate) async fn probe(&self, path: &str, deadline: Deadline) -> Probe {
         let probing = async {
             let Ok(mut connection) = self.connect().await else {
@@ -217,7 +217,12 @@
                 return Probe::Unhealthy;
             };
             match connection.send(request).await {
-                Ok(response) if response.status().is_success() => Probe::Healthy,
+                Ok(response)
+                    if response.status().is_success()
+                        && (self.header_codec.is_instance)(&self.instance, response.headers()) =>
+                {
+                    Probe::Healthy
+                }
                 Ok(_) | Err(_) => Probe::Unhealthy,
             }
         };
--- a/crates/directory/src/versions.rs
+++ b/crates/directory/src/versions.rs
@@ -1,7 +1,8 @@
 use std::sync::Arc;
 
 use tokio::sync::watch;
-use types::{BootTime, Version};
+use tokio::time::timeout_at;
+use types::{BootTime, Deadline, Version};
 
 use crate::{Item, Relay, WatchOptions};
 
@@ -53,6 +54,14 @@
         self.relay.confirmed_at(&self.key)
     }
 
+    /// Waits until a configuration is in force; returns false if the deadline passes first.
+    pub async fn wait_ready(&self, deadline: Deadline) -> bool {
+        let mut current = self.current.subscribe();
+        // The sender lives as long as `self`, so only the deadline can end the wait early.
+        let waiting = current.wait_for(Option::is_some);
+        timeout_at(deadline.instant(), waiting).await.is_ok()
+    }
+
     /// Whether a configuration is in force.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/route/src/start_tracker.rs
+++ b/crates/route/src/start_tracker.rs
@@ -9,6 +9,10 @@
 /// older start is accepted again. The clock of the later one may have been ahead when it started.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after the start of a process of the node within which announcements that were sent before may
+/// still arrive.
+const LATE_ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Maximum time by which the start of an upstream may lie ahead of the node's clock. The clocks of
 /// an upstream and its node may differ by seconds; a later start is invalid and would outrank every
 /// true one.
@@ -61,6 +65,9 @@
     Current(Stage),
     /// The announcement is from a start that is current from now on.
     New(Stage),
+    /// The start may have departed at an earlier process of the node, which is no longer known. It gets
+    /// no calls before [`StartTracker::confirm`].
+    Unconfirmed,
     /// The announcement has no effect, for this reason.
     Ignored(&'static str),
 }
@@ -75,6 +82,16 @@
     departed: Vec<(String, Timestamp)>,
     /// Start of the last departure before this process of the node, and when it was restored.
     restored_departure: Option<(Timestamp, Instant)>,
+    predecessor: Option<Predecessor>,
+}
+
+/// Earlier process of the node, whose record of departures may be lost.
+#[derive(Debug)]
+struct Predecessor {
+    /// Time of day at which it had ended.
+    ended_by: Timestamp,
+    /// Time after which no announcements from its time arrive any more.
+    forgotten_at: Instant,
 }
 
 #[derive(Debug)]
@@ -83,10 +100,26 @@
     started: Timestamp,
     sequence: u64,
     draining: bool,
+    /// Whether it is known not to have departed at an earlier process of the node.
+    confirmed: bool,
     last_announcement: Instant,
 }
 
 impl StartTracker {
+    /// Creates the tracker of a process that begins at `now` and may follow an earlier one of the same
+    /// node. That one may have recorded departures which did not outlive it, so the starts from its time
+    /// get no calls before they are confirmed. `clock` is the node's time of day.
+    #[must_use]
+    pub fn with_predecessor(clock: Timestamp, now: Instant) -> Self {
+        Self {
+            predecessor: Some(Predecessor {
+                ended_by: clock,
+                forgotten_at: now + LATE_ANNOUNCEMENT_TIMEOUT,
+            }),
+            ..Self::default()
+        }
+    }
+
     /// Evaluates an announcement that arrived at `now`.
     pub fn record_announcement(
         &mut self,
@@ -97,6 +130,7 @@
             return AnnouncementOutcome::Ignored("upstream has departed");
         }
         let is_before_departure = self.is_before_restored_departure(header.started, now);
+        let confirmed = self.is_confirmed_start(header.started, now);
         match &mut self.current {
             Some(current)
                 if current.instance == header.instance && current.started == header.started =>
@@ -111,11 +145,14 @@
                 current.sequence = header.sequence;
                 current.last_announcement = now;
                 current.draining |= header.stage == Stage::Draining;
-                AnnouncementOutcome::Current(if current.draining {
-                    Stage::Draining
+                current.confirmed |= confirmed;
+                if current.draining {
+                    AnnouncementOutcome::Current(Stage::Draining)
+                } else if current.confirmed {
+                    AnnouncementOutcome::Current(header.stage)
                 } else {
-                    header.stage
-                })
+                    AnnouncementOutcome::Unconfirmed
+                }
             }
             Some(current)
                 if header.started < current.started
@@ -126,27 +163,53 @@
             }
             _ if is_before_departure => AnnouncementOutcome::Ignored("a later start has departed"),
             _ => {
+                let draining = header.stage == Stage::Draining;
                 self.current = Some(Current {
                     instance: header.instance.clone(),
                     started: header.started,
                     sequence: header.sequence,
-                    draining: header.stage == Stage::Draining,
+                    draining,
+                    confirmed,
                     last_announcement: now,
                 });
-                AnnouncementOutcome::New(header.stage)
+                if confirmed || draining {
+                    AnnouncementOutcome::New(header.stage)
+                } else {
+                    AnnouncementOutcome::Unconfirmed
+                }
             }
         }
     }
 
+    /// Records that the upstream itself has told that a start takes calls. Returns whether the start is
+    /// the current one and may get calls.
+    pub fn confirm(&mut self, instance: &str, started: Timestamp) -> bool {
+        let is_current = self.is_current(instance, started);
+        if let Some(current) = self.current.as_mut().filter(|_| is_current) {
+            current.confirmed = true;
+        }
+        is_current
+    }
+
+    /// Whether the current start may get calls.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.current
+            .as_ref()
+            .is_some_and(|current| current.confirmed)
+    }
+
     /// Restores the start that an earlier process of the node knew as current, with any next
     /// sequence number.
     pub fn restore(&mut self, instance: &str, started: Timestamp, now: Instant) {
+        let confirmed = self.is_confirmed_start(started, now);
         if self.current.is_none() && !self.has_departed(instance, started) {
             self.current = Some(Current {
                 instance: instance.to_owned(),
                 started,
                 sequence: 0,
                 draining: false,
+                confirmed,
                 last_announcement: now,
             });
         }
@@ -198,6 +261,14 @@
         current
     }
 
+    /// Whether no earlier process of the node can have recorded the departure of a start, or no message
+    /// from before it arrives any more.
+    fn is_confirmed_start(&self, started: Timestamp, now: Instant) -> bool {
+        self.predecessor.as_ref().is_none_or(|predecessor| {
+            started >= predecessor.ended_by || now >= predecessor.forgotten_at
+        })
+    }
+
     fn is_before_restored_departure(&self, started: Timestamp, now: Instant) -> bool {
         self.restored_departure
             .is_some_and(|(departed, restored_at)| {
--- a/crates/route/tests/succession.rs
+++ b/crates/route/tests/succession.rs
@@ -164,6 +164,51 @@
     );
 }
 
+/// Guards against calls to a start that has departed at an earlier process of the node, which nobody knows
+/// any more, and against an upstream that is left out although it was confirmed or has started since.
+#[test]
+fn starts_before_the_process_get_calls_when_they_are_confirmed() {
+    use Stage::{Draining, Ready};
+    let now = Instant::now();
+    let new_tracker = || StartTracker::with_predecessor(Timestamp::new(100), now);
+    let mut tracker = new_tracker();
+    tracker.restore("a", Timestamp::new(90), now);
+    for sequence in 1..3 {
+        let outcome = tracker.record_announcement(&header("a", 90, sequence, Ready), now);
+        assert_eq!(outcome, AnnouncementOutcome::Unconfirmed);
+    }
+    assert!(!tracker.confirm("b", Timestamp::new(90)));
+    assert!(tracker.confirm("a", Timestamp::new(90)));
+    assert_eq!(
+        tracker.record_announcement(&header("a", 90, 3, Ready), now),
+        AnnouncementOutcome::Current(Ready)
+    );
+
+    // A departure or the drain of a start outranks an answer that was on its way.
+    let mut tracker = new_tracker();
+    tracker.record_announcement(&header("a", 90, 1, Ready), now);
+    tracker.record_departure("a", None, Timestamp::new(100));
+    assert!(!tracker.confirm("a", Timestamp::new(90)));
+    let mut tracker = new_tracker();
+    tracker.record_announcement(&header("a", 90, 1, Ready), now);
+    assert_eq!(
+        tracker.record_announcement(&header("a", 90, 2, Draining), now),
+        AnnouncementOutcome::Current(Draining)
+    );
+    assert!(!tracker.confirm("a", Timestamp::new(90)));
+
+    // Later starts, and announcements that cannot have been sent before the process.
+    assert_eq!(
+        new_tracker().record_announcement(&header("a", 110, 1, Ready), now),
+        AnnouncementOutcome::New(Ready)
+    );
+    let later = now + Duration::from_secs(6);
+    assert_eq!(
+        new_tracker().record_announcement(&header("a", 90, 9, Ready), later),
+        AnnouncementOutcome::New(Ready)
+    );
+}
+
 /// Guards against an upstream that is ignored for good after another sender has announced it with
 /// the largest sequence number.
 #[test]
--- a/crates/sidecar/src/adapter.rs
+++ b/crates/sidecar/src/adapter.rs
@@ -1,4 +1,4 @@
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -71,6 +71,8 @@
     pub max_body_bytes: u64,
     /// Time after which a connection without a request is closed.
     pub idle_timeout: Duration,
+    /// Paths of the health endpoints of the services that do not use `/health`.
+    pub health_paths: HashMap<id::Service, String>,
     /// Tenants; `None` where requests need no key.
     pub tenants: Option<Tenants>,
 }
--- a/crates/sidecar/src/announcements.rs
+++ b/crates/sidecar/src/announcements.rs
@@ -125,7 +125,16 @@
             };
         }
     }
-    match node.apply_announcement(header, announcement) {
+    let announcement = Announcement {
+        // Only told where it matters, so that entries stay readable for earlier builds elsewhere.
+        build: announcement.build.filter(|_| node.rollouts.is_enabled()),
+        ..announcement
+    };
+    match node.apply_announcement(header, announcement.clone()) {
+        AnnouncementOutcome::Unconfirmed => {
+            node.confirm_upstream(announcement.with_state(header.stage), deadline)
+                .await;
+        }
         AnnouncementOutcome::Ignored(reason) => {
             log::info!(
                 instance:% = header.instance, started:% = header.started,
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -56,6 +56,13 @@
 /// the upstream that has died is detected earlier by refused connections.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
 
+/// Time within which a process of the upstream that an earlier process of the node knew is asked whether it
+/// still takes calls. Its next announcement comes in 1.5 s and leads to the same question.
+const RESTORE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time within which the configuration is read, which has the path to ask at.
+const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time after which an unused connection to another node is closed.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -146,6 +153,11 @@
             },
             move |bytes| decode(bytes),
         ));
+        let start_tracker = if settings.node.first_start {
+            StartTracker::default()
+        } else {
+            StartTracker::with_predecessor(Timestamp::now(), Instant::now())
+        };
         let settings = Arc::new(ArcSwap::from_pointee(settings));
         let rollouts = start_rollouts(&settings.load(), &adapter, &relay);
         let mesh = build_mesh_view(&config_watcher, &directory, &rollouts, &settings);
@@ -177,7 +189,7 @@
             relay,
             target,
             caller,
-            start_tracker: Mutex::default(),
+            start_tracker: Mutex::new(start_tracker),
             restored: watch::Sender::new(false),
             quotas: Quotas::new(Instant::now()),
             rollouts,
@@ -311,10 +323,44 @@
     /// upstream that has left, and the one that received calls. Waits until the store has been
     /// read.
     pub async fn restore(&self) {
-        if let Some(previous_entry) = self.directory.previous_entry().await {
-            self.restore_entry(previous_entry);
-        }
+        let previous_entry = self.directory.previous_entry().await;
+        let upstream = previous_entry.and_then(|entry| self.restore_entry(entry));
         self.restored.send_replace(true);
+        let Some(upstream) = upstream else { return };
+        let deadline = Deadline::after(CONFIGURATION_TIMEOUT);
+        if self.config_watcher.wait_ready(deadline).await {
+            self.confirm_upstream(upstream, Deadline::after(RESTORE_TIMEOUT))
+                .await;
+        }
+    }
+
+    /// Lets a process of the upstream get calls if it says that it takes them. The stored entry does not
+    /// show whether an earlier process of this node has recorded its departure: the store may not have
+    /// taken it before the process ended.
+    pub(crate) async fn confirm_upstream(&self, announcement: Announcement, deadline: Deadline) {
+        let config = self.config_watcher.current();
+        let path = config.and_then(|config| {
+            let path = config.health_paths.get(&announcement.service);
+            path.cloned()
+        });
+        let asked = Announcement {
+            health: path.unwrap_or_default(),
+            ..announcement.clone()
+        };
+        let is_healthy = self.target.check_health(&asked, deadline).await;
+        log::info!(
+            instance:% = announcement.instance, is_healthy;
+            "upstream of an earlier process asked whether it takes calls"
+        );
+        if !is_healthy {
+            return;
+        }
+        // The lock keeps a concurrent departure from being undone.
+        let mut start_tracker = self.lock_start_tracker();
+        let was_confirmed = start_tracker.is_confirmed();
+        if start_tracker.confirm(&announcement.instance, announcement.started) && !was_confirmed {
+            self.target.announce(announcement);
+        }
     }
 
     /// Whether [`Node::restore`] has ended.
@@ -329,7 +375,8 @@
         timeout_at(deadline.instant(), waiting).await.is_ok()
     }
 
-    fn restore_entry(&self, previous_entry: Entry) {
+    /// Restores an entry. Returns the upstream that gets calls when it is confirmed.
+    fn restore_entry(&self, previous_entry: Entry) -> Option<Announcement> {
         if let Some(departed) = previous_entry.departed {
             log::info!(
                 instance:% = departed.instance;
@@ -341,12 +388,8 @@
                 Instant::now(),
             );
         }
-        if let (Some(current), Some(service)) =
-            (previous_entry.current, previous_entry.record.service)
-        {
-            let build = previous_entry.record.build.clone();
-            self.restore_upstream(current, service, previous_entry.record.slots, build);
-        }
+        let (current, record) = (previous_entry.current?, previous_entry.record);
+        self.restore_upstream(current, record.service?, record.slots, record.build)
     }
 
     fn restore_upstream(
@@ -355,15 +398,13 @@
         service: id::Service,
         slots: size::Slots,
         build: Option<id::Build>,
-    ) {
-        let Some(address) = process.address else {
-            return;
-        };
+    ) -> Option<Announcement> {
+        let address = process.address?;
         let mut start_tracker = self.lock_start_tracker();
         start_tracker.restore(&process.instance, process.started, Instant::now());
         // It may have departed since.
         if !start_tracker.is_current(&process.instance, process.started) {
-            return;
+            return None;
         }
         log::info!(
             instance:% = process.instance;
@@ -375,7 +416,7 @@
         announcement.started = process.started;
         announcement.cold_remaining = Some(Duration::ZERO);
         announcement.build = build;
-        self.target.announce(announcement);
+        Some(announcement)
     }
 
     /// Checks that an announcement names an upstream of this instance.
@@ -418,11 +459,6 @@
         // The lock keeps a concurrent departure from being undone.
         let mut start_tracker = self.lock_start_tracker();
         let outcome = start_tracker.record_announcement(header, Instant::now());
-        let announcement = Announcement {
-            // Only told where it matters, so that entries stay readable for earlier builds elsewhere.
-            build: announcement.build.filter(|_| self.rollouts.is_enabled()),
-            ..announcement
-        };
         if let AnnouncementOutcome::Current(stage) | AnnouncementOutcome::New(stage) = outcome {
             self.target.announce(announcement.with_state(stage));
         }
--- a/crates/sidecar/tests/answers.rs
+++ b/crates/sidecar/tests/answers.rs
@@ -35,6 +35,11 @@
                         return;
                     }
                 }
+                if request.starts_with(b"GET /health ") {
+                    let healthy = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    let _ = socket.write_all(healthy).await;
+                    return;
+                }
                 let mut sent = socket.write_all(&script.first).await;
                 let repeated = script.repeated.repeat(100);
                 while sent.is_ok() && !repeated.is_empty() {
--- a/crates/sidecar/tests/departures.rs
+++ b/crates/sidecar/tests/departures.rs
@@ -182,6 +182,72 @@
     fleet.count_requests(1, Duration::from_secs(1)).await
 }
 
+/// Guards against a departure that is acknowledged during an outage of the store and forgotten when all
+/// processes are killed, so that no node keeps it: the target got calls from its stored entry, or from a
+/// heartbeat that arrives late. The other upstreams must be in use again without further heartbeats.
+#[tokio::test(flavor = "multi_thread")]
+async fn departures_acknowledged_during_an_outage_outlive_all_processes() {
+    let draining = "POST /heartbeat/i-0/7/9/draining/127.0.0.1:1";
+    let mut cases = JoinSet::new();
+    for (outage, message, is_lapsed, is_late_heartbeat) in [
+        (Outage::Refusing, "POST /leave/i-0/7", false, false),
+        (Outage::Refusing, "POST /leave/i-0", true, true),
+        (Outage::Refusing, draining, false, true),
+        (Outage::Silent, "POST /leave/i-0/7", false, true),
+        (Outage::Silent, draining, true, true),
+    ] {
+        cases.spawn(async move {
+            let case = format!("{outage:?}, {message}, {is_lapsed}, late: {is_late_heartbeat}");
+            let requests =
+                play_departure_before_a_loss(outage, message, is_lapsed, is_late_heartbeat).await;
+            assert_eq!(requests, 0, "{case}");
+        });
+    }
+    cases.join_all().await;
+}
+
+/// Plays a departure during an outage and a kill of all processes. Returns the number of requests that the
+/// upstream gets afterwards.
+async fn play_departure_before_a_loss(
+    outage: Outage,
+    message: &str,
+    is_lapsed: bool,
+    is_late_heartbeat: bool,
+) -> usize {
+    let mut fleet = Fleet::start().await;
+    outage.set(&fleet.store, true);
+    fleet.upstreams[0].is_healthy.store(false, Ordering::SeqCst);
+    let announcements = fleet.processes[0].node.announcements;
+    let acknowledgement = send(announcements, message).await;
+    assert_eq!(status(&acknowledgement), "200", "{acknowledgement}");
+    for process in &mut fleet.processes {
+        process.kill().await;
+    }
+    if is_lapsed {
+        fleet.store.revoke_all();
+    }
+    for process in &mut fleet.processes {
+        process.restart().await;
+    }
+    outage.set(&fleet.store, false);
+    let node = &fleet.processes[0].node;
+    wait_status(node.ready, "GET /", "200").await;
+    if is_late_heartbeat {
+        let heartbeat = fleet.upstreams[0].send_heartbeat(node, "i-0", 5, "ready");
+        heartbeat.await;
+    }
+    if is_lapsed {
+        fleet.announce(1, 6).await;
+    }
+    let requests = fleet.count_requests(1, Duration::from_secs(1)).await;
+    let served: usize = fleet.upstreams[1..]
+        .iter()
+        .map(|upstream| upstream.request_count.load(Ordering::SeqCst))
+        .sum();
+    assert!(served > 0, "the other upstreams are not in use");
+    requests
+}
+
 /// Guards against a heartbeat that was held up and is the first message to reach a new process: it made
 /// a departed upstream current before the stored departure was restored. Which of the two comes first
 /// is decided by the scheduler, so several nodes are killed.
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -6,17 +6,17 @@
     reason = "each test file uses a part of it"
 )]
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bundle::{Bundle, Source};
 use call::{Announcement, HeaderCodec};
 use front::{Limits, Server, full};
-use http::{Method, Request, Response};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rollout::Order;
 use route::{AnnouncementHeader, Stage};
@@ -84,6 +84,7 @@
             1024
         },
         idle_timeout: Duration::from_secs(15),
+        health_paths: HashMap::new(),
         tenants: (version.get() >= TENANTS_VERSION).then(|| build_tenants(version.get())),
     };
     Ok((version, config))
@@ -411,6 +412,8 @@
     pub address: SocketAddr,
     pub request_count: Arc<AtomicUsize>,
     pub last_request: Arc<Mutex<Option<http::request::Parts>>>,
+    /// Whether its health endpoint says that it takes calls.
+    pub is_healthy: Arc<AtomicBool>,
 }
 
 pub fn start_upstream() -> Upstream {
@@ -428,20 +431,30 @@
     let address = listener.local_addr().unwrap();
     let (request_count, last_request) = (Arc::<AtomicUsize>::default(), Arc::<Mutex<_>>::default());
     let (counter, recorder) = (Arc::clone(&request_count), Arc::clone(&last_request));
+    let is_healthy = Arc::new(AtomicBool::new(true));
+    let health = Arc::clone(&is_healthy);
     let handler = move |request: Request<Incoming>| {
+        if request.uri().path() == "/health" {
+            let mut response = Response::new(full(""));
+            if !health.load(Ordering::SeqCst) {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            return std::future::ready(Ok(response));
+        }
         counter.fetch_add(1, Ordering::SeqCst);
         *recorder.lock().unwrap() = Some(request.into_parts().0);
         let mut response = Response::new(full("done"));
         for (name, value) in headers {
             response.headers_mut().insert(*name, value.parse().unwrap());
         }
-        async { Ok(response) }
+        std::future::ready(Ok(response))
     };
     tokio::spawn(Arc::new(Server::new(move || limits)).serve(listener, handler));
     Upstream {
         address,
         request_count,
         last_request,
+        is_healthy,
     }
 }
 
