Wait with quotas until the nodes know each other

Cause: a node that starts after such a loss finds no entry but its own, and took the nodes that it knew for all: it elected itself as the coordinator of the quotas and handed out the whole quota to itself, as did every other node, until it listed the entries again.

Change: Directory::is_settled tells whether this node knows the others and they know it: it has found the entry of an earlier process, or it has read the entry that it has written, and the others have had 4 s to read it. Of two nodes, the one that writes later knows the other. Only a settled node coordinates or takes its even part of a quota. Others report to a settled coordinator, or answer 503: the quota is not known yet, which is not the same as used up.

--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use member::{Record, State, compute_priority};
@@ -50,6 +51,10 @@
     pub(crate) entry_outdated: Notify,
     /// Own entry that this process has last written to the store, or found there.
     pub(crate) written: watch::Sender<Option<Written>>,
+    /// Time by which the other nodes have read the entry that this process has written first.
+    pub(crate) known_to_others_at: OnceLock<Deadline>,
+    /// Whether the entries that this node has read include the one that it has written.
+    is_listed: AtomicBool,
     replica: Mutex<Replica>,
     previous_entry: watch::Sender<PreviousEntry>,
     pub(crate) handoff: Handoff,
@@ -98,6 +103,8 @@
             }),
             entry_outdated: Notify::new(),
             written: watch::Sender::new(None),
+            known_to_others_at: OnceLock::new(),
+            is_listed: AtomicBool::new(false),
             replica: Mutex::default(),
             previous_entry: watch::Sender::new(PreviousEntry::Unknown),
             handoff: Handoff::default(),
@@ -120,6 +127,26 @@
         self.shared.is_loaded()
     }
 
+    /// Whether this node knows the other live nodes and they know it, so that what all nodes share may be
+    /// divided by [`Directory::node_count`].
+    ///
+    /// The leases of all nodes may have expired when a process starts, and the entries are written again
+    /// within seconds of each other. Once a node has read its own entry, it knows all that were written
+    /// before; the others know it some time later. A process that finds the entry of an earlier process
+    /// of its node follows no such loss.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        match &*self.shared.previous_entry.borrow() {
+            PreviousEntry::Unknown => false,
+            PreviousEntry::Found(_) => true,
+            PreviousEntry::Absent => {
+                let known_at = self.shared.known_to_others_at.get();
+                self.shared.is_listed.load(Ordering::Acquire)
+                    && known_at.is_some_and(|at| at.has_passed(Instant::now()))
+            }
+        }
+    }
+
     /// Waits until the entries of the other nodes are known; returns false if the deadline passes
     /// first.
     pub async fn wait_ready(&self, deadline: Deadline) -> bool {
@@ -156,16 +183,20 @@
     }
 
     /// Selects the live node that coordinates what one node has to decide for all, with its address.
-    /// `failures` holds the times at which nodes did not answer.
+    /// `failures` holds the times at which nodes did not answer. This node is selected only when it
+    /// [is settled](Directory::is_settled).
     #[must_use]
     #[allow(
         clippy::implicit_hasher,
         reason = "the map is internal state of the caller"
     )]
     pub fn elect(&self, failures: &HashMap<id::Node, Instant>) -> Option<(id::Node, SocketAddr)> {
+        let own = self.shared.node();
+        let is_settled = self.is_settled();
         let nodes = self.live_nodes();
         let ranked = nodes
             .iter()
+            .filter(|(node, _)| is_settled || *node != own)
             .map(|(node, _)| (compute_priority(node), node.clone()));
         let elected = choose_coordinator(ranked, failures, Instant::now())?;
         nodes.into_iter().find(|(node, _)| *node == elected)
@@ -388,6 +419,10 @@
         match self.update_replica(update, reached) {
             OwnUpdate::None => {}
             OwnUpdate::Found(stored) => {
+                let own_incarnation = self.own_entry.borrow().record.incarnation;
+                if stored.entry.record.incarnation == own_incarnation {
+                    self.is_listed.store(true, Ordering::Release);
+                }
                 self.keep_departed(&stored.entry);
                 if self.is_replaced_by(&stored.entry, reached) {
                     self.entry_outdated.notify_one();
--- a/crates/directory/src/publish.rs
+++ b/crates/directory/src/publish.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
+use types::Deadline;
 
 use crate::handle::Shared;
 use crate::own_entry::Written;
@@ -18,6 +19,9 @@
 /// Lease renewals per time to live. Two of them may fail without the lease expiring.
 const RENEWALS_PER_TTL: u32 = 3;
 
+/// Time within which the other nodes read a new entry. They watch the entries at most every 3 s.
+const PROPAGATION_TIME: Duration = Duration::from_secs(4);
+
 /// Longest time for which an entry that equals the one of an earlier process is not written. Upstreams
 /// announce themselves every 1.5 s, and the first announcement often changes the entry.
 const REWRITE_DELAY: Duration = Duration::from_secs(2);
@@ -138,6 +142,8 @@
         let revision = self.stored_revision;
         let written = Written { sequence, revision };
         self.shared.written.send_replace(Some(written));
+        let known_to_others_at = &self.shared.known_to_others_at;
+        known_to_others_at.get_or_init(|| Deadline::after(PROPAGATION_TIME));
     }
 
     async fn renew(&mut self) -> Result<(), Error> {
--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -479,3 +480,39 @@
         assert_eq!(targets(&a), ["a", "b"], "{outage_ms} ms");
     }
 }
+
+/// Guards against a node that divides what all share by the nodes that it knows, or coordinates them, while
+/// others have not written their entries again or do not know it yet.
+#[tokio::test(start_paused = true)]
+async fn a_node_is_settled_when_it_and_the_others_know_each_other() {
+    let store = Memory::default();
+    let elected = |directory: &Directory| directory.elect(&HashMap::new()).map(|(node, _)| node);
+    let (a, b) = (start(&store, "a").await, start(&store, "b").await);
+    for directory in [&a, &b] {
+        assert!(!directory.is_settled(), "others may not know the entry");
+        assert_ne!(elected(directory), Some(directory.own_record().id));
+    }
+    sleep(Duration::from_secs(5)).await;
+    assert!(a.is_settled() && b.is_settled());
+    assert_eq!(elected(&a), elected(&b));
+
+    // The next process of a node knows the others from its first listing.
+    a.close();
+    let a = start_process_in(&store, "a", Incarnation::new(2));
+    assert!(!a.is_settled());
+    assert!(a.wait_ready(Deadline::after_ms(5000)).await);
+    assert!(a.is_settled());
+    assert_eq!(a.node_count(), 2);
+
+    // All entries are lost, and the store is away before the node has read its new one.
+    store.revoke_all();
+    let c = start_process(&store, "c");
+    assert!(c.wait_ready(Deadline::after_ms(5000)).await);
+    store.set_down(true);
+    c.set_upstream(Some(upstream("i-1")));
+    sleep(Duration::from_secs(20)).await;
+    assert!(!c.is_settled());
+    store.set_down(false);
+    sleep(Duration::from_secs(7)).await;
+    assert!(c.is_settled());
+}
--- a/crates/sidecar/src/access.rs
+++ b/crates/sidecar/src/access.rs
@@ -8,7 +8,7 @@
 use http::request::Parts;
 use http::{HeaderMap, StatusCode, header};
 use route::Plan;
-use tenant::{Excess, Key, Tenant};
+use tenant::{Excess, Key, Refusal, Tenant};
 use tokio::time::Instant;
 use types::{BootTime, id};
 
@@ -21,6 +21,10 @@
 /// Time after which a caller retries when the configuration of this node is not confirmed.
 const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after which a caller retries when this node does not know the other nodes yet. A coordinator that
+/// does answers within this time.
+const QUOTA_UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Result of the check of a request, by which it is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
@@ -28,6 +32,7 @@
     UnknownKey,
     Unconfirmed,
     OverQuota,
+    QuotaUnknown,
 }
 
 impl Verdict {
@@ -38,6 +43,7 @@
             Self::UnknownKey => "unknown-key",
             Self::Unconfirmed => "unconfirmed",
             Self::OverQuota => "over-quota",
+            Self::QuotaUnknown => "quota-unknown",
         }
     }
 }
@@ -76,7 +82,7 @@
         }
     }
 
-    fn take(&self, node: &Node) -> Result<(), Excess> {
+    fn take(&self, node: &Node) -> Result<(), Refusal> {
         node.quotas.take(&self.tenant, Instant::now())?;
         self.is_taken.store(true, Ordering::Release);
         Ok(())
@@ -153,13 +159,22 @@
         refuse(node, request, Verdict::UnknownKey, "");
         return Err(Failure::caller(StatusCode::UNAUTHORIZED, "unknown API key"));
     };
-    if let Err(excess) = charge.take(node) {
-        let details = format!(
-            "{} share {} isolated {}",
-            charge.tenant.name, excess.share, excess.is_isolated
-        );
-        refuse(node, request, Verdict::OverQuota, &details);
-        return Err(over_quota(excess));
+    match charge.take(node) {
+        Ok(()) => {}
+        Err(Refusal::OverQuota(excess)) => {
+            let details = format!(
+                "{} share {} isolated {}",
+                charge.tenant.name, excess.share, excess.is_isolated
+            );
+            refuse(node, request, Verdict::OverQuota, &details);
+            return Err(over_quota(excess));
+        }
+        Err(Refusal::FleetUnknown) => {
+            let details = charge.tenant.name.as_str();
+            refuse(node, request, Verdict::QuotaUnknown, details);
+            let failure = Failure::mesh("share of the quota is not known yet");
+            return Err(failure.with_retry_after(QUOTA_UNKNOWN_RETRY_AFTER));
+        }
     }
     node.metrics.tenants.record(Verdict::Admitted);
     Ok(charge.tenant.priority)
--- a/crates/sidecar/src/quotas.rs
+++ b/crates/sidecar/src/quotas.rs
@@ -9,7 +9,7 @@
 use schema::quota as message;
 use schema::quota::{QuotaMessage, Report, Shares, quota_message::Kind};
 use tenant::{
-    Coordinator, Excess, Meter, REPORT_INTERVAL, REPORT_TIMEOUT, Registry, Tenant, Usage,
+    Coordinator, Meter, REPORT_INTERVAL, REPORT_TIMEOUT, Refusal, Registry, Tenant, Usage,
 };
 use thiserror::Error;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
@@ -28,6 +28,9 @@
 /// Time between two checks whether another node coordinates now.
 const ELECTION_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Delay before a coordinator that does not coordinate yet is asked again.
+const UNSETTLED_RETRY_DELAY: Duration = Duration::from_millis(750);
+
 /// Reason why the exchange with a coordinator has ended.
 #[derive(Debug, Error)]
 enum EndReason {
@@ -58,7 +61,7 @@
     }
 
     /// Counts a request of a tenant against its quota.
-    pub(crate) fn take(&self, tenant: &Tenant, now: Instant) -> Result<(), Excess> {
+    pub(crate) fn take(&self, tenant: &Tenant, now: Instant) -> Result<(), Refusal> {
         match tenant.quota {
             Some(quota) => self.meter().take(&tenant.name, quota, rand::random(), now),
             None => Ok(()),
@@ -115,23 +118,38 @@
         if tenant_configuration(&node).is_none_or(|config| !has_quotas(&config)) {
             continue;
         }
-        node.quotas.meter().set_fleet(node.directory.node_count());
+        update_fleet(&node);
         let Some((coordinator, address)) = node.directory.elect(&failures) else {
             continue;
         };
-        log::info!(coordinator:% = coordinator; "reporting the usage of tenants");
+        let nodes = node.directory.node_count();
+        log::info!(coordinator:% = coordinator, nodes; "reporting the usage of tenants");
         let Err(reason) = if coordinator == node.locality.node {
             report_to_self(&node, &failures).await
         } else {
             report_to(&node, &coordinator, address, &failures).await
         };
         log::info!(coordinator:% = coordinator, reason:%; "no longer reporting the usage of tenants");
-        if !matches!(reason, EndReason::Replaced) {
-            failures.insert(coordinator, Instant::now());
+        match reason {
+            EndReason::Replaced => {}
+            // Probably none of the nodes coordinates yet.
+            EndReason::Ended if !node.directory.is_settled() => {
+                tokio::time::sleep(UNSETTLED_RETRY_DELAY).await;
+            }
+            _ => {
+                failures.insert(coordinator, Instant::now());
+            }
         }
     }
 }
 
+/// Tells the meter the number of nodes, once it is known.
+fn update_fleet(node: &Node) {
+    if node.directory.is_settled() {
+        node.quotas.meter().set_fleet(node.directory.node_count());
+    }
+}
+
 /// Configuration with tenants; `None` where there are none.
 fn tenant_configuration(node: &Node) -> Option<Arc<Configuration>> {
     let config = node.config_watcher.current()?;
@@ -166,7 +184,7 @@
             return Ok(());
         }
         self.next_check = now + ELECTION_INTERVAL;
-        node.quotas.meter().set_fleet(node.directory.node_count());
+        update_fleet(node);
         match node.directory.elect(failures) {
             Some((elected, _)) if elected == *current => Ok(()),
             _ => Err(EndReason::Replaced),
@@ -270,6 +288,10 @@
         let Some((reporter, usages)) = decode_report(report) else {
             break;
         };
+        // A node that does not know the others would hand out more than their part of the quotas.
+        if !node.directory.is_settled() {
+            break;
+        }
         // A node without a configuration cannot coordinate.
         let Some(config) = tenant_configuration(node) else {
             break;
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -4,15 +4,17 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use standin::Memory;
 use support::{
-    Node, QUOTA, REVOKED_VERSION, TENANTS_VERSION, TIMEOUT, Upstream, start_node_with,
+    Node, Process, QUOTA, REVOKED_VERSION, TENANTS_VERSION, TIMEOUT, Upstream, start_node_with,
     start_upstream, status, wait_status,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
 /// Time after which no node may accept a removed key.
@@ -47,14 +49,7 @@
 
     /// Sends a request with further header lines.
     async fn send(&self, path: &str, lines: &[&str]) -> String {
-        let mut socket = TcpStream::connect(self.node.callers).await.unwrap();
-        let head = format!("GET {path} HTTP/1.1\r\nhost: portal.example\r\nconnection: close");
-        let text = [&[head.as_str()], lines, &["", ""]].concat().join("\r\n");
-        socket.write_all(text.as_bytes()).await.unwrap();
-        let mut response = String::new();
-        let reading = timeout(TIMEOUT, socket.read_to_string(&mut response)).await;
-        reading.unwrap().unwrap();
-        response
+        send_with(self.node.callers, path, lines).await.unwrap()
     }
 
     fn last_headers(&self) -> http::HeaderMap {
@@ -63,6 +58,18 @@
     }
 }
 
+/// Sends a request with further header lines.
+async fn send_with(address: SocketAddr, path: &str, lines: &[&str]) -> std::io::Result<String> {
+    let mut socket = TcpStream::connect(address).await?;
+    let head = format!("GET {path} HTTP/1.1\r\nhost: portal.example\r\nconnection: close");
+    let text = [&[head.as_str()], lines, &["", ""]].concat().join("\r\n");
+    socket.write_all(text.as_bytes()).await?;
+    let mut response = String::new();
+    let reading = timeout(TIMEOUT, socket.read_to_string(&mut response)).await;
+    reading.unwrap()?;
+    Ok(response)
+}
+
 /// Guards against requests that run without a valid key, and against routes without keys that need one.
 #[tokio::test]
 async fn a_key_is_needed_except_on_public_routes() {
@@ -214,3 +221,122 @@
         .await;
     assert_eq!(status(&response), "200");
 }
+
+/// Nodes of a fleet that shares a quota.
+const NODES: usize = 5;
+
+/// Start of all processes of a fleet.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    /// Fault of the store, during which the processes are killed; `None` for the first start.
+    fault: Option<Fault>,
+    /// Whether the entries of all nodes are lost meanwhile.
+    is_lapsed: bool,
+    /// Time between the starts of two processes.
+    interval: Duration,
+}
+
+/// Guards against nodes that take a whole quota each, since they do not know each other yet: all entries have
+/// expired, or the fleet starts for the first time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quota_holds_while_all_nodes_start() {
+    let restart = |fault: Fault, is_lapsed, interval_ms| Start {
+        fault: Some(fault),
+        is_lapsed,
+        interval: Duration::from_millis(interval_ms),
+    };
+    let mut cases = JoinSet::new();
+    for start in [
+        restart(Memory::set_down, true, 0),
+        restart(Memory::set_silent, true, 0),
+        restart(Memory::set_down, true, 700),
+        restart(Memory::set_down, false, 0),
+        Start {
+            fault: None,
+            is_lapsed: true,
+            interval: Duration::ZERO,
+        },
+    ] {
+        cases.spawn(async move { (start, play_start(start).await) });
+    }
+    // One request of each node beyond the overage of a tenth.
+    let allowed = (4 * QUOTA + QUOTA) as usize * 11 / 10 + NODES;
+    let mut faults = Vec::new();
+    for (start, served_at) in cases.join_all().await {
+        let most = most_within(&served_at, Duration::from_secs(4));
+        let total = served_at.len();
+        if most > allowed || total < 2 * QUOTA as usize {
+            faults.push(format!("{start:?}: {most} within 4 s, {total} in all"));
+        }
+    }
+    assert!(faults.is_empty(), "allowed: {allowed}, {faults:#?}");
+}
+
+/// Largest number of times within a window.
+fn most_within(times: &[Instant], window: Duration) -> usize {
+    let counts = times.iter().enumerate().map(|(first, from)| {
+        let later = times[first..].iter();
+        later.take_while(|at| **at - *from < window).count()
+    });
+    counts.max().unwrap_or_default()
+}
+
+/// Starts all processes while callers send far more than the quota of a tenant. Returns when they were served.
+async fn play_start(start: Start) -> Vec<Instant> {
+    let store = Memory::default();
+    store.set("config", TENANTS_VERSION.to_string().as_bytes());
+    let settings = format!("[tenants]\nrevocation_ms = {}\n", REVOCATION.as_millis());
+    let (mut processes, mut upstreams) = (Vec::new(), Vec::new());
+    for index in 0..NODES {
+        processes.push(Process::start_with(&store, &format!("n{index}"), &settings).await);
+        upstreams.push(start_upstream());
+    }
+    if let Some(set_fault) = start.fault {
+        announce(&processes, &upstreams, 1).await;
+        sleep(Duration::from_secs(3)).await;
+        set_fault(&store, true);
+        for process in &mut processes {
+            process.kill().await;
+        }
+        if start.is_lapsed {
+            store.revoke_all();
+        }
+        for process in &mut processes {
+            process.restart().await;
+            sleep(start.interval).await;
+            set_fault(&store, false);
+        }
+    }
+    let end = Instant::now() + Duration::from_secs(12);
+    let mut callers = JoinSet::new();
+    for process in &processes {
+        callers.spawn(call_until(process.node.callers, end));
+    }
+    announce(&processes, &upstreams, 2).await;
+    sleep(Duration::from_secs(6)).await;
+    announce(&processes, &upstreams, 3).await;
+    let mut served_at = callers.join_all().await.concat();
+    served_at.sort();
+    served_at
+}
+
+/// Lets all upstreams announce themselves.
+async fn announce(processes: &[Process], upstreams: &[Upstream], sequence: u32) {
+    let heartbeats = processes.iter().zip(upstreams).map(|(process, upstream)| {
+        upstream.send_heartbeat(&process.node, "i-1", sequence, "ready")
+    });
+    futures::future::join_all(heartbeats).await;
+}
+
+/// Sends requests of the limited tenant to a node; returns when they were served.
+async fn call_until(address: SocketAddr, end: Instant) -> Vec<Instant> {
+    let mut served_at = Vec::new();
+    while Instant::now() < end {
+        let response = send_with(address, "/status/1", &["authorization: key-limited"]).await;
+        if response.is_ok_and(|response| status(&response) == "200") {
+            served_at.push(Instant::now());
+        }
+        sleep(Duration::from_millis(40)).await;
+    }
+    served_at
+}
--- a/crates/tenant/src/lib.rs
+++ b/crates/tenant/src/lib.rs
@@ -4,7 +4,8 @@
 //! - [`Registry`] holds the [`Tenant`]s of one configuration version and finds the holder of a key.
 //! - [`Meter`] decides at each node whether a request is within the tenant's [`Quota`]. It counts what the
 //!   node takes, and applies the shares that a [`Coordinator`] computes from the reports of all nodes.
-//!   While no coordinator answers, it takes no more than the node's even part of each quota.
+//!   While no coordinator answers, it takes no more than the node's even part of each quota, and nothing
+//!   while the number of nodes is not known.
 //!
 //! ```
 //! use tenant::{Key, Registry, Tenant};
@@ -25,6 +26,6 @@
 
 pub use coordinator::{Coordinator, REPORT_INTERVAL, REPORT_TIMEOUT};
 pub use key::Key;
-pub use meter::{Excess, Meter, Usage};
+pub use meter::{Excess, Meter, Refusal, Usage};
 pub use quota::Quota;
 pub use registry::{Registry, SharedKey, Tenant};
--- a/crates/tenant/src/meter.rs
+++ b/crates/tenant/src/meter.rs
@@ -26,6 +26,15 @@
     pub is_isolated: bool,
 }
 
+/// Reason why a request is not taken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refusal {
+    /// It is beyond the quota of its tenant.
+    OverQuota(Excess),
+    /// No coordinator answers, and this node does not know yet how many others share the quota.
+    FleetUnknown,
+}
+
 /// What a node has seen of a tenant since its last report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Usage {
@@ -44,8 +53,8 @@
     shares: HashMap<id::Tenant, Share>,
     /// Time until which the shares of the coordinator apply.
     shares_expire_at: Instant,
-    /// Number of nodes that are known, this one included.
-    fleet: usize,
+    /// Number of live nodes, this one included; `None` while it is not known.
+    fleet: Option<usize>,
 }
 
 #[derive(Debug)]
@@ -66,27 +75,27 @@
             accounts: HashMap::new(),
             shares: HashMap::new(),
             shares_expire_at: now,
-            fleet: 1,
+            fleet: None,
         }
     }
 
     /// Sets the number of nodes that share the quotas.
     pub fn set_fleet(&mut self, nodes: usize) {
-        self.fleet = nodes.max(1);
+        self.fleet = Some(nodes.max(1));
     }
 
     /// Decides on a request of a tenant and counts it. `draw` is a random number from 0 to 1.
     ///
     /// # Errors
     ///
-    /// Returns [`Excess`] if the request is over the quota.
+    /// Returns [`Refusal`] if the request is over the quota, or if this node cannot know whether it is.
     pub fn take(
         &mut self,
         tenant: &id::Tenant,
         quota: Quota,
         draw: f64,
         now: Instant,
-    ) -> Result<(), Excess> {
+    ) -> Result<(), Refusal> {
         let is_isolated = self.is_isolated(now);
         let limit = self.local_limit(quota, is_isolated);
         let share = match self.shares.get(tenant) {
@@ -96,20 +105,26 @@
         let account = self.accounts.entry(tenant.clone()).or_insert_with(|| {
             // The even part of a quota is not handed out before it has accrued: a process that has just
             // started may follow one that has used it.
-            let tokens = if is_isolated { 0.0 } else { limit.capacity };
+            let capacity = limit.as_ref().map_or(0.0, |limit| limit.capacity);
+            let tokens = if is_isolated { 0.0 } else { capacity };
             Account::new(tokens, draw, now)
         });
         account.used_at = now;
         account.arrived = account.arrived.saturating_add(1);
+        let Some(limit) = limit else {
+            // Nothing accrues before the size of the part is known.
+            account.level.refill(PerSecond::new(0.0), 0.0, now);
+            return Err(Refusal::FleetUnknown);
+        };
         account.level.refill(limit.rate, limit.capacity, now);
         account.due += share.get();
         if account.due < 1.0 || account.level.tokens() < 1.0 {
             account.due = account.due.min(1.0);
-            return Err(Excess {
+            return Err(Refusal::OverQuota(Excess {
                 retry_after: retry_after(share, limit.rate),
                 share,
                 is_isolated,
-            });
+            }));
         }
         account.due -= 1.0;
         account.level.take(1.0);
@@ -179,14 +194,14 @@
     }
 
     /// Limit that this node applies by itself: the whole quota, which holds when all requests of a tenant
-    /// arrive here, or the even part of an isolated node.
+    /// arrive here, or the even part of an isolated node; `None` while that is not known.
     #[allow(clippy::cast_precision_loss, reason = "the number of nodes is small")]
-    fn local_limit(&self, quota: Quota, is_isolated: bool) -> LocalLimit {
-        let parts = if is_isolated { self.fleet as f64 } else { 1.0 };
-        LocalLimit {
+    fn local_limit(&self, quota: Quota, is_isolated: bool) -> Option<LocalLimit> {
+        let parts = if is_isolated { self.fleet? as f64 } else { 1.0 };
+        Some(LocalLimit {
             rate: PerSecond::new(quota.rate.get() / parts),
             capacity: (f64::from(quota.burst.get()) / parts).max(1.0),
-        }
+        })
     }
 
     /// Forgets tenants that a configuration no longer limits.
--- a/crates/tenant/tests/quotas.rs
+++ b/crates/tenant/tests/quotas.rs
@@ -12,7 +12,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use tenant::{Coordinator, Meter, Quota, REPORT_INTERVAL, Registry, Tenant};
+use tenant::{Coordinator, Meter, Quota, REPORT_INTERVAL, Refusal, Registry, Tenant};
 use tokio::time::Instant;
 use types::rate::{PerSecond, Share};
 use types::{id, size};
@@ -341,3 +341,32 @@
     let report = meter.report(now);
     assert_eq!((report[0].taken, report[0].arrived), (0, 1000));
 }
+
+/// Guards against a node that takes the whole quota because it does not know the other nodes yet, and whose
+/// demand the coordinator never learns.
+#[test]
+fn a_node_that_does_not_know_the_fleet_takes_nothing() {
+    let now = Instant::now();
+    let tenant: id::Tenant = "porto".parse().unwrap();
+    let mut meter = Meter::new(now);
+    let later = now + Duration::from_secs(3);
+    for at in [now, later] {
+        let taken = meter.take(&tenant, quota(10.0), 0.5, at);
+        assert_eq!(taken, Err(Refusal::FleetUnknown));
+    }
+    assert_eq!(meter.report(later)[0].arrived, 2);
+    // The answer of a coordinator or the number of nodes ends this; nothing has accrued meanwhile.
+    meter.set_fleet(2);
+    let taken = meter.take(&tenant, quota(10.0), 0.5, later);
+    assert!(matches!(taken, Err(Refusal::OverQuota(_))), "{taken:?}");
+    meter.apply([], later);
+    assert_eq!(
+        meter.take(
+            &tenant,
+            quota(10.0),
+            0.5,
+            later + Duration::from_millis(200)
+        ),
+        Ok(())
+    );
+}
