Divide the retry slack only by a known number of nodes

After a loss of all entries, or at the first start, it knows only itself, so all nodes together had 0.7 of the slack times their number.

Change: a node that is not settled gets none of the slack. Its retries stay within the ratio of its own calls.

--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -18,6 +18,7 @@
 
 use crate::log_budget::LogBudget;
 use crate::metrics::Snapshot;
+use crate::retry_slack::divide_retry_slack;
 use crate::rollouts::STATE_WATCH_OPTIONS;
 use crate::tenant_metrics::TenantSnapshot;
 use crate::{Adapter, Configuration, Error, Metrics, Quotas, Rollouts};
@@ -66,10 +67,6 @@
 /// Time after which an unused connection to another node is closed.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Share of the mesh-wide retry slack that the known nodes divide among themselves. The rest is
-/// left for nodes that do not know of each other yet.
-const RETRY_SLACK_RATIO: f64 = 0.7;
-
 /// Log lines about refused requests of tenants in one second.
 const REFUSAL_LINES: u32 = 5;
 
@@ -491,7 +488,12 @@
         move |service| rollouts.select(service, targets.targets(service)),
         move || ready.is_ready() && entries.is_ready(),
     );
-    mesh.with_retry_slack(move || compute_retry_slack(&settings.load(), nodes.node_count()))
+    mesh.with_retry_slack(move || {
+        let nodes = nodes.is_settled().then(|| nodes.node_count());
+        // The text was validated when the settings were read.
+        let slack = settings.load().retries.slack.parse().unwrap_or_default();
+        divide_retry_slack(slack, nodes)
+    })
 }
 
 /// Follows the state of roll-outs, where the settings have them.
@@ -534,14 +536,6 @@
     (!revocation.is_zero()).then(|| revocation / REVOCATION_CHECKS)
 }
 
-/// Computes the share of this node in the mesh-wide retry slack.
-#[allow(clippy::cast_precision_loss, reason = "the number of nodes is small")]
-fn compute_retry_slack(settings: &Settings, nodes: usize) -> f64 {
-    // The text was validated when the settings were read.
-    let slack: f64 = settings.retries.slack.parse().unwrap_or_default();
-    RETRY_SLACK_RATIO * slack / nodes as f64
-}
-
 /// Builds the first record of this process.
 fn build_record(settings: &Settings) -> Result<Record, Error> {
     let peers = match settings.listen.advertised.as_str() {
