Nodes that do not coordinate yet are asked again soon

Cause: a node that is not settled reset the stream of a report, which counts as a failure for 10 s. After a loss of all entries the nodes had asked each other in vain and, once settled, each chose itself for the rest of this time, so a tenant had an even part of its quota at each node only.

Change: such a node ends the stream without an error, which is remembered for 1 s, and a node that is not settled itself waits 0.75 s before it looks for a coordinator again. The election takes the times until which nodes are avoided, in place of the times of their failures.

--- a/crates/directory/src/election.rs
+++ b/crates/directory/src/election.rs
@@ -2,13 +2,13 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use types::id;
+use types::{Deadline, id};
 
 /// Time for which a node that did not answer is chosen after the others only.
-const FAILURE_MEMORY: Duration = Duration::from_secs(10);
+pub const FAILURE_MEMORY: Duration = Duration::from_secs(10);
 
-/// Selects the node that coordinates among the live nodes with their ranks: the highest rank that has not
-/// failed recently. `failures` holds the times at which nodes did not answer.
+/// Selects the node that coordinates among the live nodes with their ranks: the highest rank that is not
+/// avoided. `avoided` holds the times until which nodes are chosen after the others only.
 ///
 /// Nodes that know different fleets or failures may choose different coordinators, which must do no harm.
 #[must_use]
@@ -18,17 +18,17 @@
 )]
 pub fn choose_coordinator<I>(
     nodes: I,
-    failures: &HashMap<id::Node, Instant>,
+    avoided: &HashMap<id::Node, Deadline>,
     now: Instant,
 ) -> Option<id::Node>
 where
     I: IntoIterator<Item = (u64, id::Node)>,
 {
-    let failed_recently = |node: &id::Node| {
-        let failed_at = failures.get(node);
-        failed_at.is_some_and(|at| now.saturating_duration_since(*at) < FAILURE_MEMORY)
+    let is_avoided = |node: &id::Node| {
+        let until = avoided.get(node);
+        until.is_some_and(|until| !until.has_passed(now))
     };
     let nodes = nodes.into_iter();
-    let best = nodes.max_by_key(|(rank, node)| (!failed_recently(node), *rank));
+    let best = nodes.max_by_key(|(rank, node)| (!is_avoided(node), *rank));
     best.map(|(_, node)| node)
 }
--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -183,14 +183,14 @@
     }
 
     /// Selects the live node that coordinates what one node has to decide for all, with its address.
-    /// `failures` holds the times at which nodes did not answer. This node is selected only when it
+    /// `avoided` holds the times until which nodes are selected after the others only. This node is selected only when it
     /// [is settled](Directory::is_settled).
     #[must_use]
     #[allow(
         clippy::implicit_hasher,
         reason = "the map is internal state of the caller"
     )]
-    pub fn elect(&self, failures: &HashMap<id::Node, Instant>) -> Option<(id::Node, SocketAddr)> {
+    pub fn elect(&self, avoided: &HashMap<id::Node, Deadline>) -> Option<(id::Node, SocketAddr)> {
         let own = self.shared.node();
         let is_settled = self.is_settled();
         let nodes = self.live_nodes();
@@ -198,7 +198,7 @@
             .iter()
             .filter(|(node, _)| is_settled || *node != own)
             .map(|(node, _)| (compute_priority(node), node.clone()));
-        let elected = choose_coordinator(ranked, failures, Instant::now())?;
+        let elected = choose_coordinator(ranked, avoided, Instant::now())?;
         nodes.into_iter().find(|(node, _)| *node == elected)
     }
 
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -62,7 +62,7 @@
     Backend, Change, Error, Item, Lease, LeaseId, ListRequest, Listing, Revision, WatchRequest,
 };
 pub use difference::{Difference, Segment};
-pub use election::choose_coordinator;
+pub use election::{FAILURE_MEMORY, choose_coordinator};
 pub use entry::{Entry, UpstreamStart};
 pub use handle::{Directory, Upstream};
 pub use health::{CallCount, CallKind, Health};
--- a/crates/route/tests/succession.rs
+++ b/crates/route/tests/succession.rs
@@ -186,7 +186,7 @@
 
     // The store may have been read long after the start of the process.
     let mut tracker = new_tracker();
-    tracker.restore("a", Timestamp::new(90), now + Duration::from_secs(60));
+    tracker.restore("a", Timestamp::new(90), now + Duration::from_mins(1));
     assert!(!tracker.is_confirmed());
 
     // A departure or the drain of a start outranks an answer that was on its way.
--- a/crates/sidecar/src/quotas.rs
+++ b/crates/sidecar/src/quotas.rs
@@ -6,13 +6,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use directory::FAILURE_MEMORY;
 use schema::quota as message;
 use schema::quota::{QuotaMessage, Report, Shares, quota_message::Kind};
 use tenant::{
     Coordinator, Meter, REPORT_INTERVAL, REPORT_TIMEOUT, Refusal, Registry, Tenant, Usage,
 };
 use thiserror::Error;
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 use types::rate::Share;
 use types::{Deadline, id};
 use wire::{Connection, Stream};
@@ -28,7 +29,11 @@
 /// Time between two checks whether another node coordinates now.
 const ELECTION_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Delay before a coordinator that does not coordinate yet is asked again.
+/// Time for which a node that does not coordinate yet is chosen after the others only. It is short, so that the
+/// nodes soon choose the same one after a common start.
+const UNSETTLED_MEMORY: Duration = Duration::from_secs(1);
+
+/// Delay before a node that does not know the others yet looks for a coordinator again.
 const UNSETTLED_RETRY_DELAY: Duration = Duration::from_millis(750);
 
 /// Reason why the exchange with a coordinator has ended.
@@ -36,7 +41,7 @@
 enum EndReason {
     #[error("{0}")]
     Wire(#[from] wire::Error),
-    #[error("ended by the coordinator")]
+    #[error("the node does not coordinate yet")]
     Ended,
     #[error("unexpected message")]
     UnexpectedMessage,
@@ -112,33 +117,33 @@
 
 /// Reports the usage of this node while the configuration has quotas. Runs until the future is dropped.
 pub(crate) async fn run(node: Arc<Node>) {
-    let mut failures = HashMap::new();
+    let mut avoided = HashMap::new();
     loop {
-        tokio::time::sleep(REPORT_INTERVAL).await;
+        sleep(REPORT_INTERVAL).await;
         if tenant_configuration(&node).is_none_or(|config| !has_quotas(&config)) {
             continue;
         }
         update_fleet(&node);
-        let Some((coordinator, address)) = node.directory.elect(&failures) else {
+        let Some((coordinator, address)) = node.directory.elect(&avoided) else {
             continue;
         };
         let nodes = node.directory.node_count();
         log::info!(coordinator:% = coordinator, nodes; "reporting the usage of tenants");
         let Err(reason) = if coordinator == node.locality.node {
-            report_to_self(&node, &failures).await
+            report_to_self(&node, &avoided).await
         } else {
-            report_to(&node, &coordinator, address, &failures).await
+            report_to(&node, &coordinator, address, &avoided).await
         };
         log::info!(coordinator:% = coordinator, reason:%; "no longer reporting the usage of tenants");
-        match reason {
-            EndReason::Replaced => {}
-            // Probably none of the nodes coordinates yet.
-            EndReason::Ended if !node.directory.is_settled() => {
-                tokio::time::sleep(UNSETTLED_RETRY_DELAY).await;
-            }
-            _ => {
-                failures.insert(coordinator, Instant::now());
-            }
+        let memory = match reason {
+            EndReason::Replaced => continue,
+            EndReason::Ended => UNSETTLED_MEMORY,
+            _ => FAILURE_MEMORY,
+        };
+        avoided.insert(coordinator, Deadline::after(memory));
+        // After a common start, probably none of the nodes coordinates yet.
+        if !node.directory.is_settled() {
+            sleep(UNSETTLED_RETRY_DELAY).await;
         }
     }
 }
@@ -177,7 +182,7 @@
         &mut self,
         node: &Node,
         current: &id::Node,
-        failures: &HashMap<id::Node, Instant>,
+        avoided: &HashMap<id::Node, Deadline>,
     ) -> Result<(), EndReason> {
         let now = Instant::now();
         if now < self.next_check {
@@ -185,7 +190,7 @@
         }
         self.next_check = now + ELECTION_INTERVAL;
         update_fleet(node);
-        match node.directory.elect(failures) {
+        match node.directory.elect(avoided) {
             Some((elected, _)) if elected == *current => Ok(()),
             _ => Err(EndReason::Replaced),
         }
@@ -194,7 +199,7 @@
 
 async fn report_to_self(
     node: &Node,
-    failures: &HashMap<id::Node, Instant>,
+    avoided: &HashMap<id::Node, Deadline>,
 ) -> Result<std::convert::Infallible, EndReason> {
     let own = node.locality.node.clone();
     let mut election = Election::new();
@@ -202,7 +207,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        election.check(node, &own, failures)?;
+        election.check(node, &own, avoided)?;
         let config = tenant_configuration(node).ok_or(EndReason::Replaced)?;
         let Some(tenants) = &config.tenants else {
             return Err(EndReason::Replaced);
@@ -221,7 +226,7 @@
     node: &Node,
     coordinator: &id::Node,
     address: SocketAddr,
-    failures: &HashMap<id::Node, Instant>,
+    avoided: &HashMap<id::Node, Deadline>,
 ) -> Result<std::convert::Infallible, EndReason> {
     let connection = Connection::connect(address, Deadline::after(CONNECT_TIMEOUT)).await?;
     let Stream {
@@ -233,7 +238,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        election.check(node, coordinator, failures)?;
+        election.check(node, coordinator, avoided)?;
         let config = tenant_configuration(node).ok_or(EndReason::Replaced)?;
         let Some(tenants) = &config.tenants else {
             return Err(EndReason::Replaced);
@@ -288,8 +293,12 @@
         let Some((reporter, usages)) = decode_report(report) else {
             break;
         };
-        // A node that does not know the others would hand out more than their part of the quotas.
+        // A node that does not know the others would hand out more than their part of the quotas. The stream
+        // ends without an error, which tells the other node that this one does not coordinate yet.
         if !node.directory.is_settled() {
+            if sender.finish().is_ok() {
+                return;
+            }
             break;
         }
         // A node without a configuration cannot coordinate.
--- a/crates/sidecar/src/rollout_reports.rs
+++ b/crates/sidecar/src/rollout_reports.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use directory::FAILURE_MEMORY;
 use rollout::Rollout;
 use schema::rollout as message;
 use thiserror::Error;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use types::{Deadline, id};
 use wire::{Connection, Stream};
 
@@ -36,13 +37,13 @@
 
 /// Reports while the service of the own upstream is rolled out. Runs until the future is dropped.
 pub(crate) async fn run(node: Arc<Node>) {
-    let mut failures = HashMap::new();
+    let mut avoided = HashMap::new();
     loop {
         sleep(INTERVAL).await;
         if current_report(&node).is_none() {
             continue;
         }
-        let Some((driver, address)) = node.directory.elect(&failures) else {
+        let Some((driver, address)) = node.directory.elect(&avoided) else {
             continue;
         };
         let result = if driver == node.locality.node {
@@ -52,7 +53,7 @@
         };
         if let Err(reason) = result {
             log::info!(driver:% = driver, reason:%; "report on a roll-out not received");
-            failures.insert(driver, Instant::now());
+            avoided.insert(driver, Deadline::after(FAILURE_MEMORY));
         }
     }
 }
