Elect the drivers of roll-outs among all nodes again

Cause: since quotas wait until the nodes know each other, no node was elected that is not settled, for roll-outs as well. A node without an upstream has no entry in the store and never settles, so nobody drove where no node has one: all five tests of sidecar/rollouts failed.

Change: only quotas use the election that needs settled nodes (Directory::elect_settled). Several drivers for a moment are kept apart by the conditions of the store, as before.

Evidence: sidecar/rollouts passes again, with all other tests of sidecar and directory.

--- a/crates/directory/src/handle.rs
+++ b/crates/directory/src/handle.rs
@@ -183,23 +183,32 @@
     }
 
     /// Selects the live node that coordinates what one node has to decide for all, with its address.
-    /// `avoided` holds the times until which nodes are selected after the others only. This node is selected only when it
-    /// [is settled](Directory::is_settled).
+    /// `avoided` holds the times until which nodes are selected after the others only.
     #[must_use]
     #[allow(
         clippy::implicit_hasher,
         reason = "the map is internal state of the caller"
     )]
     pub fn elect(&self, avoided: &HashMap<id::Node, Deadline>) -> Option<(id::Node, SocketAddr)> {
-        let own = self.shared.node();
-        let is_settled = self.is_settled();
-        let nodes = self.live_nodes();
-        let ranked = nodes
-            .iter()
-            .filter(|(node, _)| is_settled || *node != own)
-            .map(|(node, _)| (compute_priority(node), node.clone()));
-        let elected = choose_coordinator(ranked, avoided, Instant::now())?;
-        nodes.into_iter().find(|(node, _)| *node == elected)
+        choose_node(self.live_nodes(), avoided)
+    }
+
+    /// Selects like [`Directory::elect`], but this node only when it [is settled](Directory::is_settled).
+    #[must_use]
+    #[allow(
+        clippy::implicit_hasher,
+        reason = "the map is internal state of the caller"
+    )]
+    pub fn elect_settled(
+        &self,
+        avoided: &HashMap<id::Node, Deadline>,
+    ) -> Option<(id::Node, SocketAddr)> {
+        let mut nodes = self.live_nodes();
+        if !self.is_settled() {
+            let own = self.shared.node();
+            nodes.retain(|(node, _)| *node != own);
+        }
+        choose_node(nodes, avoided)
     }
 
     /// Record of this node.
@@ -536,6 +545,18 @@
     }
 }
 
+/// Selects the node that coordinates.
+fn choose_node(
+    nodes: Vec<(id::Node, SocketAddr)>,
+    avoided: &HashMap<id::Node, Deadline>,
+) -> Option<(id::Node, SocketAddr)> {
+    let ranked = nodes
+        .iter()
+        .map(|(node, _)| (compute_priority(node), node.clone()));
+    let elected = choose_coordinator(ranked, avoided, Instant::now())?;
+    nodes.into_iter().find(|(node, _)| *node == elected)
+}
+
 /// Tells the relay which nodes to follow whenever the entries change, until the future is dropped.
 async fn maintain_plan(shared: Arc<Shared>, relay: Relay) {
     shared.wait_previous_entry().await;
--- a/crates/directory/tests/entries.rs
+++ b/crates/directory/tests/entries.rs
@@ -486,7 +486,10 @@
 #[tokio::test(start_paused = true)]
 async fn a_node_is_settled_when_it_and_the_others_know_each_other() {
     let store = Memory::default();
-    let elected = |directory: &Directory| directory.elect(&HashMap::new()).map(|(node, _)| node);
+    let elected = |directory: &Directory| {
+        let elected = directory.elect_settled(&HashMap::new());
+        elected.map(|(node, _)| node)
+    };
     let (a, b) = (start(&store, "a").await, start(&store, "b").await);
     for directory in [&a, &b] {
         assert!(!directory.is_settled(), "others may not know the entry");
--- a/crates/sidecar/src/quotas.rs
+++ b/crates/sidecar/src/quotas.rs
@@ -124,7 +124,7 @@
             continue;
         }
         update_fleet(&node);
-        let Some((coordinator, address)) = node.directory.elect(&avoided) else {
+        let Some((coordinator, address)) = node.directory.elect_settled(&avoided) else {
             continue;
         };
         let nodes = node.directory.node_count();
@@ -190,7 +190,7 @@
         }
         self.next_check = now + ELECTION_INTERVAL;
         update_fleet(node);
-        match node.directory.elect(avoided) {
+        match node.directory.elect_settled(avoided) {
             Some((elected, _)) if elected == *current => Ok(()),
             _ => Err(EndReason::Replaced),
         }
